Add the Maven build, the protocol messages and rendezvous hashing

Cause: an empty repository needs a build in which formatter, linter, generated code and tests run by one command before parts can be written side by side. Ruled out: protobuf generation during the build, because the build would then need a native protoc; the generated classes are committed and build/generate-protocol renews them.

--- /dev/null
+++ b/core/src/main/java/org/baobabknot/hashing/package-info.java
@@ -0,0 +1,12 @@
+/**
+ * Rendezvous hashing, by which processes with the same list of names agree on a ranking
+ * without exchanging messages.
+ *
+ * <pre>{@code
+ * List<String> ranked = RendezvousHash.rank("chunk-7", names, (name) -> name);
+ * }</pre>
+ */
+@NullMarked
+package org.baobabknot.hashing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/architecture/CoreDependenciesTests.java
@@ -0,0 +1,50 @@
+package org.baobabknot.architecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Checks that {@code core} holds decisions only: no sockets, threads or wall clock.
+ */
+class CoreDependenciesTests {
+
+	private static final JavaClasses CORE = new ClassFileImporter()
+		.withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+		.importPackages("org.baobabknot");
+
+	// Guards against decisions that cannot be tested on a paused clock.
+	@Test
+	void readsNoClock() {
+		ArchRule rule = ArchRuleDefinition.noClasses()
+			.should()
+			.callMethod(System.class, "nanoTime")
+			.orShould()
+			.callMethod(System.class, "currentTimeMillis")
+			.orShould()
+			.dependOnClassesThat()
+			.haveFullyQualifiedName("java.time.Clock");
+		rule.check(CORE);
+	}
+
+	// Guards against decisions that need a network or a thread of their own.
+	@Test
+	void usesNoSocketsThreadsOrTransport() {
+		ArchRule rule = ArchRuleDefinition.noClasses()
+			.should()
+			.dependOnClassesThat()
+			.resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..", "com.google.protobuf..",
+					"com.fasterxml..")
+			.orShould()
+			.dependOnClassesThat()
+			.haveFullyQualifiedName("java.lang.Thread")
+			.orShould()
+			.dependOnClassesThat()
+			.haveNameMatching("java\\.util\\.concurrent\\.(.*Executor.*|Timer)");
+		rule.check(CORE);
+	}
+
+}
