--- /dev/null
+++ b/core/src/main/java/org/baobabknot/admission/Priority.java
@@ -0,0 +1,38 @@
+package org.baobabknot.admission;
+
+/**
+ * Priority of a request.
+ */
+public enum Priority {
+
+	/**
+	 * Served before the others.
+	 */
+	HIGH(12),
+
+	/**
+	 * The default.
+	 */
+	NORMAL(3),
+
+	/**
+	 * Served last.
+	 */
+	LOW(1);
+
+	private final int share;
+
+	Priority(int share) {
+		this.share = share;
+	}
+
+	/**
+	 * Returns the share of the polls while every priority has waiting requests. A share
+	 * above zero keeps a low priority from being starved.
+	 * @return the share, relative to the other priorities
+	 */
+	int share() {
+		return this.share;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/admission/Waiting.java
@@ -0,0 +1,28 @@
+package org.baobabknot.admission;
+
+/**
+ * A request that waits in a {@link FairQueue}. Compared by identity of the item.
+ *
+ * @param workspace workspace that the request belongs to
+ * @param priority priority of the request
+ * @param weight share of the workspace relative to others, above 0
+ * @param deadlineNanos monotonic time after which the request is not started
+ * @param item the request itself
+ * @param <T> type of the item
+ */
+public record Waiting<T>(String workspace, Priority priority, double weight, long deadlineNanos, T item) {
+
+	/**
+	 * Checks the weight.
+	 */
+	public Waiting {
+		if (!(weight > 0)) {
+			throw new IllegalArgumentException("expected a weight above 0, got " + weight);
+		}
+	}
+
+	boolean expired(long nowNanos) {
+		return nowNanos - this.deadlineNanos >= 0;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/admission/package-info.java
@@ -0,0 +1,17 @@
+/**
+ * Admission at one target: how many requests run at once, and which of the waiting
+ * requests is next.
+ *
+ * <pre>{@code
+ * TargetLimiter limiter = new TargetLimiter(LimiterSettings.reporting(2, 16));
+ * limiter.targetObserved(incarnation, false, now);
+ * if (limiter.tryStart(now) instanceof Decision.Admitted admitted) {
+ *     // ... run the request ...
+ *     limiter.finished(Observation.healthy(admitted, latencyNanos), now);
+ * }
+ * }</pre>
+ */
+@NullMarked
+package org.baobabknot.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/admission/FairQueueTests.java
@@ -0,0 +1,144 @@
+package org.baobabknot.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests for {@link FairQueue}.
+ */
+class FairQueueTests {
+
+	private final FairQueue<Integer> queue = new FairQueue<>(new QueueSettings(10, 8));
+
+	private static Waiting<Integer> waiting(String workspace, Priority priority, int item) {
+		return new Waiting<>(workspace, priority, 1, 1000, item);
+	}
+
+	private List<String> drain(long now) {
+		List<String> order = new ArrayList<>();
+		while (true) {
+			Poll<Integer> poll = this.queue.poll(now);
+			if (poll.next().isEmpty()) {
+				return order;
+			}
+			order.add(poll.next().get().workspace());
+		}
+	}
+
+	@Nested
+	class Workspaces {
+
+		// Guards against one busy workspace being served before all others.
+		@Test
+		void takeTurns() {
+			for (int i = 0; i < 4; i++) {
+				FairQueueTests.this.queue.offer(waiting("large", Priority.NORMAL, i));
+			}
+			FairQueueTests.this.queue.offer(waiting("small", Priority.NORMAL, 9));
+			assertThat(drain(0), contains("large", "small", "large", "large", "large"));
+		}
+
+		// Guards against a full queue that shuts out a workspace with small demand.
+		@Test
+		void displaceTheLongest() {
+			for (int i = 0; i < 8; i++) {
+				FairQueueTests.this.queue.offer(waiting("large", Priority.NORMAL, i));
+			}
+			for (int i = 0; i < 2; i++) {
+				FairQueueTests.this.queue.offer(waiting("other", Priority.NORMAL, i));
+			}
+			Offer<Integer> offer = FairQueueTests.this.queue.offer(waiting("small", Priority.NORMAL, 9));
+			Offer.Queued<Integer> queued = (Offer.Queued<Integer>) offer;
+			assertThat(queued.displaced().orElseThrow().workspace(), is("large"));
+			assertThat(FairQueueTests.this.queue.size(), is(10));
+		}
+
+		// Guards against one workspace that fills the whole queue.
+		@Test
+		void areBounded() {
+			Offer<Integer> last = null;
+			for (int i = 0; i < 9; i++) {
+				last = FairQueueTests.this.queue.offer(waiting("large", Priority.NORMAL, i));
+			}
+			assertThat(last, is(new Offer.Refused<Integer>(Offer.Reason.WORKSPACE_OVER_SHARE)));
+		}
+
+		// Guards against weights that have no effect.
+		@Test
+		void areServedByWeight() {
+			FairQueue<Integer> weighted = new FairQueue<>(new QueueSettings(100, 100));
+			for (int i = 0; i < 40; i++) {
+				weighted.offer(new Waiting<>("half", Priority.NORMAL, 1, 1000, i));
+				weighted.offer(new Waiting<>("double", Priority.NORMAL, 3, 1000, i));
+			}
+			int served = 0;
+			for (int i = 0; i < 40; i++) {
+				if (weighted.poll(0).next().orElseThrow().workspace().equals("double")) {
+					served++;
+				}
+			}
+			assertThat(served, is(30));
+		}
+
+	}
+
+	@Nested
+	class Priorities {
+
+		// Guards against a high priority that waits for the others.
+		@Test
+		void serveTheHighestMostOften() {
+			FairQueue<Integer> large = new FairQueue<>(new QueueSettings(1000, 1000));
+			for (int i = 0; i < 100; i++) {
+				for (Priority priority : Priority.values()) {
+					large.offer(waiting("one", priority, i));
+				}
+			}
+			int[] served = new int[Priority.values().length];
+			for (int i = 0; i < 64; i++) {
+				served[large.poll(0).next().orElseThrow().priority().ordinal()]++;
+			}
+			assertThat(served[Priority.HIGH.ordinal()], is(48));
+			assertThat(served[Priority.LOW.ordinal()], greaterThan(0));
+		}
+
+		// Guards against a full queue of low priority that refuses a high one.
+		@Test
+		void displaceTheLowerOfTheSameWorkspace() {
+			FairQueue<Integer> full = new FairQueue<>(new QueueSettings(2, 8));
+			full.offer(waiting("one", Priority.LOW, 1));
+			full.offer(waiting("one", Priority.LOW, 2));
+			assertThat(full.offer(waiting("one", Priority.HIGH, 3)), instanceOf(Offer.Queued.class));
+			assertThat(full.offer(waiting("one", Priority.LOW, 4)), instanceOf(Offer.Refused.class));
+			assertThat(full.size(), lessThanOrEqualTo(2));
+		}
+
+	}
+
+	@Nested
+	class Deadlines {
+
+		// Guards against starting requests that nobody waits for.
+		@Test
+		void dropExpiredRequests() {
+			FairQueueTests.this.queue.offer(waiting("one", Priority.NORMAL, 1));
+			FairQueueTests.this.queue.offer(new Waiting<>("one", Priority.NORMAL, 1, 5000, 2));
+			Poll<Integer> poll = FairQueueTests.this.queue.poll(2000);
+			assertThat(poll.next().orElseThrow().item(), is(2));
+			assertThat(poll.expired().size(), is(1));
+			assertThat(FairQueueTests.this.queue.size(), is(0));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
@@ -0,0 +1,146 @@
+package org.baobabknot.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link TargetLimiter}.
+ */
+class TargetLimiterTests {
+
+	private static final long MILLIS = 1_000_000;
+
+	private final TargetLimiter limiter = new TargetLimiter(LimiterSettings.reporting(2, 16));
+
+	private long now;
+
+	private List<Decision.Admitted> startAll() {
+		List<Decision.Admitted> admitted = new ArrayList<>();
+		while (this.limiter.tryStart(this.now) instanceof Decision.Admitted next) {
+			admitted.add(next);
+		}
+		return admitted;
+	}
+
+	private void warmUp() {
+		this.limiter.targetObserved(1, false, this.now);
+		for (int round = 0; round < 10; round++) {
+			List<Decision.Admitted> admitted = startAll();
+			this.now += 10 * MILLIS;
+			admitted.forEach((next) -> this.limiter.finished(Observation.healthy(next, 10 * MILLIS), this.now));
+		}
+	}
+
+	@Nested
+	class Cold {
+
+		// Guards against sending requests to a target whose state was never seen.
+		@Test
+		void startsNothingBeforeTheFirstReport() {
+			assertThat(TargetLimiterTests.this.limiter.tryStart(0), instanceOf(Decision.Rejected.class));
+		}
+
+		// Guards against a limiter that starts at full rate.
+		@Test
+		void startsAtTheColdLimit() {
+			TargetLimiterTests.this.limiter.targetObserved(1, true, 0);
+			assertThat(startAll().size(), is(2));
+		}
+
+		// Guards against a ramp that ignores what the target reports.
+		@Test
+		void staysAtTheColdLimitWhileTheTargetIsCold() {
+			TargetLimiterTests.this.limiter.targetObserved(1, true, 0);
+			for (int i = 0; i < 50; i++) {
+				startAll()
+					.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
+			}
+			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
+		}
+
+		// Guards against a late report of the old process that opens the new one to full
+		// load.
+		@Test
+		void ignoresReportsOfAnEarlierIncarnation() {
+			warmUp();
+			TargetLimiterTests.this.limiter.targetObserved(2, true, TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(1, false, TargetLimiterTests.this.now);
+			for (int i = 0; i < 50; i++) {
+				startAll()
+					.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
+			}
+			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
+		}
+
+		// Guards against completions of the old process that ramp up the new one.
+		@Test
+		void ignoresCompletionsOfAnEarlierEpoch() {
+			warmUp();
+			List<Decision.Admitted> before = startAll();
+			TargetLimiterTests.this.limiter.targetObserved(2, false, TargetLimiterTests.this.now);
+			before.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
+			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
+		}
+
+	}
+
+	@Nested
+	class Warm {
+
+		// Guards against a limiter that never gets back to full rate.
+		@Test
+		void rampsUpToTheCapacity() {
+			warmUp();
+			assertThat(startAll().size(), is(16));
+		}
+
+		// Guards against full load on a target that may have restarted.
+		@Test
+		void startsNothingAfterALostConnectionUntilItIsObserved() {
+			warmUp();
+			TargetLimiterTests.this.limiter.connectionLost(TargetLimiterTests.this.now);
+			assertThat(startAll().size(), is(0));
+			TargetLimiterTests.this.limiter.targetObserved(1, false, TargetLimiterTests.this.now);
+			assertThat(startAll().size(), is(2));
+		}
+
+		// Guards against full load on a target that became cold without a restart.
+		@Test
+		void fallsBackWhenLatencyIsFarAboveItsFloor() {
+			warmUp();
+			for (int i = 0; i < 20 && TargetLimiterTests.this.limiter.limit() == 16; i++) {
+				Decision.Admitted next = (Decision.Admitted) TargetLimiterTests.this.limiter
+					.tryStart(TargetLimiterTests.this.now);
+				TargetLimiterTests.this.limiter.finished(Observation.healthy(next, 2000 * MILLIS),
+						TargetLimiterTests.this.now);
+			}
+			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
+		}
+
+	}
+
+	@Nested
+	class Closed {
+
+		// Guards against one reason opening admission while another still holds.
+		@Test
+		void opensOnlyWhenEveryReasonIsGone() {
+			warmUp();
+			TargetLimiterTests.this.limiter.close(CloseReason.SWITCHING);
+			TargetLimiterTests.this.limiter.close(CloseReason.LEAVING);
+			TargetLimiterTests.this.limiter.open(CloseReason.SWITCHING, TargetLimiterTests.this.now);
+			assertThat(startAll().size(), is(0));
+			TargetLimiterTests.this.limiter.open(CloseReason.LEAVING, TargetLimiterTests.this.now);
+			assertThat(startAll().size(), is(2));
+		}
+
+	}
+
+}
