Add the retry budget and the retry policy

A retry is charged to both the ratio and the minimum rate, so the total approaches the larger of the two and not their sum. A non-idempotent request is sent again only after an outcome that proves that it did not run.

--- /dev/null
+++ b/core/src/main/java/org/baobabknot/retry/RetryBudget.java
@@ -0,0 +1,79 @@
+package org.baobabknot.retry;
+
+/**
+ * Bounds retries to a ratio of the first attempts, with a minimum rate for processes with
+ * few requests. A retry is allowed while either part has a token left and is charged to
+ * both, so the total approaches the larger of the two rates and not their sum.
+ * Thread-safe.
+ */
+public final class RetryBudget {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	/**
+	 * Retries that can be saved up. A saved burst covers the loss of one connection with
+	 * its open requests, but not a failing fleet.
+	 */
+	public static final int BURST = 20;
+
+	private final Object lock = new Object();
+
+	private final double ratio;
+
+	private final double minimumPerSecond;
+
+	private double earned = BURST;
+
+	private double minimum;
+
+	private long refilledNanos;
+
+	private boolean started;
+
+	/**
+	 * Creates a budget with a full burst.
+	 * @param ratio retries allowed for each first attempt
+	 * @param minPerSecond retries allowed per second whatever the number of attempts
+	 */
+	public RetryBudget(double ratio, double minPerSecond) {
+		this.ratio = ratio;
+		this.minimumPerSecond = minPerSecond;
+	}
+
+	/**
+	 * Counts a first attempt.
+	 */
+	public void deposit() {
+		synchronized (this.lock) {
+			this.earned = Math.min(BURST, this.earned + this.ratio);
+		}
+	}
+
+	/**
+	 * Takes one retry out of the budget.
+	 * @param nowNanos monotonic time
+	 * @return whether the retry is allowed
+	 */
+	public boolean tryWithdraw(long nowNanos) {
+		synchronized (this.lock) {
+			refill(nowNanos);
+			if (this.earned < 1 && this.minimum < 1) {
+				return false;
+			}
+			this.earned = Math.max(0, this.earned - 1);
+			this.minimum = Math.max(0, this.minimum - 1);
+			return true;
+		}
+	}
+
+	private void refill(long nowNanos) {
+		if (!this.started) {
+			this.started = true;
+			this.refilledNanos = nowNanos;
+		}
+		double seconds = Math.max(0, nowNanos - this.refilledNanos) / NANOS_PER_SECOND;
+		this.minimum = Math.min(Math.max(1, this.minimumPerSecond), this.minimum + seconds * this.minimumPerSecond);
+		this.refilledNanos = nowNanos;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/retry/RetryPolicy.java
@@ -0,0 +1,79 @@
+package org.baobabknot.retry;
+
+import java.util.random.RandomGenerator;
+
+import org.baobabknot.retry.RetryDecision.Again;
+import org.baobabknot.retry.RetryDecision.GiveUp;
+import org.baobabknot.retry.RetryDecision.Reason;
+import org.baobabknot.retry.RetryDecision.ResolveFirst;
+
+/**
+ * Decides what follows an attempt that did not succeed. A request is sent again only if
+ * it certainly did not run, or if it is idempotent and nothing of the answer went to the
+ * caller. Thread-safe.
+ */
+public final class RetryPolicy {
+
+	private final Object lock = new Object();
+
+	private final RetrySettings settings;
+
+	private final RetryBudget budget;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a policy.
+	 * @param settings attempts and delays
+	 * @param budget budget shared by all requests of the process
+	 * @param random source of jitter
+	 */
+	public RetryPolicy(RetrySettings settings, RetryBudget budget, RandomGenerator random) {
+		this.settings = settings;
+		this.budget = budget;
+		this.random = random;
+	}
+
+	/**
+	 * Decides what follows an attempt and takes a retry out of the budget if the request
+	 * is sent again.
+	 * @param attempt the attempt that did not succeed
+	 * @param nowNanos monotonic time
+	 * @return the decision
+	 */
+	public RetryDecision decide(Attempt attempt, long nowNanos) {
+		if (attempt.answerStarted()) {
+			return new GiveUp(Reason.INCOMPLETE);
+		}
+		if (attempt.outcome() == AttemptOutcome.REFUSED_EVERYWHERE) {
+			return new GiveUp(Reason.REFUSED);
+		}
+		boolean safe = attempt.outcome().notRun() || attempt.idempotent();
+		if (!safe) {
+			return (attempt.outcome() == AttemptOutcome.CONNECTION_LOST) ? new ResolveFirst()
+					: new GiveUp(Reason.UNKNOWN);
+		}
+		long delay = delay(attempt.number());
+		if (attempt.deadlineNanos() - nowNanos <= delay) {
+			return new GiveUp(Reason.DEADLINE);
+		}
+		if (attempt.number() >= this.settings.maxAttempts() || !this.budget.tryWithdraw(nowNanos)) {
+			return new GiveUp(Reason.EXHAUSTED);
+		}
+		return new Again(delay);
+	}
+
+	// Returns the delay after an attempt. The first retry goes to another agent at once;
+	// later ones wait with full jitter, because then several agents had difficulties.
+	private long delay(int attempt) {
+		if (attempt <= 1) {
+			return 0;
+		}
+		int doublings = Math.min(attempt - 2, 16);
+		long bound = Math.min(this.settings.maxDelayNanos(), 2 * this.settings.baseDelayNanos() << doublings);
+		synchronized (this.lock) {
+			return this.random.nextLong(bound + 1);
+		}
+	}
+
+}
