Add the request record and the claims of idempotency keys

Writes of one bucket are at least 200 ms apart, which bounds one service with 64 buckets to 320 writes a second.

--- /dev/null
+++ b/core/src/main/java/org/baobabknot/record/StoreWrite.java
@@ -0,0 +1,38 @@
+package org.baobabknot.record;
+
+/**
+ * Result of writing a bucket by compare-and-swap.
+ */
+public sealed interface StoreWrite {
+
+	/**
+	 * The value was written.
+	 *
+	 * @param version the new version
+	 */
+	record Written(long version) implements StoreWrite {
+
+	}
+
+	/**
+	 * The store has another version than expected; nothing was written.
+	 */
+	record Conflict() implements StoreWrite {
+
+	}
+
+	/**
+	 * The store certainly did not write the value.
+	 */
+	record NotWritten() implements StoreWrite {
+
+	}
+
+	/**
+	 * The answer was lost: the value may have been written or may still be.
+	 */
+	record Unsure() implements StoreWrite {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/record/ClaimBookTests.java
@@ -0,0 +1,134 @@
+package org.baobabknot.record;
+
+import java.util.List;
+
+import org.baobabknot.record.ClaimCommand.ClaimedElsewhere;
+import org.baobabknot.record.ClaimCommand.Denied;
+import org.baobabknot.record.ClaimCommand.Granted;
+import org.baobabknot.record.ClaimCommand.ReadBucket;
+import org.baobabknot.record.ClaimCommand.ResolveAt;
+import org.baobabknot.record.ClaimCommand.WriteBucket;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link ClaimBook}.
+ */
+class ClaimBookTests {
+
+	private static final ClaimTime TIME = new ClaimTime(0, 1000);
+
+	private static final Hash128 ID = new Hash128(1, 1);
+
+	private static final Hash128 KEY = new Hash128(5, 5);
+
+	private final ClaimBook book = new ClaimBook("agent-1", 3, new ClaimSettings(1, 200, 600, 0));
+
+	private WriteBucket startWriting() {
+		ReadBucket read = (ReadBucket) this.book.claim(ID, KEY, TIME).get(0);
+		return (WriteBucket) this.book.readDone(read, new StoreRead.Absent(), TIME).get(0);
+	}
+
+	private static StoreRead.Value value(Claim... claims) {
+		return new StoreRead.Value(9, ClaimText.write(List.of(claims)));
+	}
+
+	@Nested
+	class Writing {
+
+		// Guards against a grant before the claim is in the store.
+		@Test
+		void grantsAfterTheWrite() {
+			WriteBucket write = startWriting();
+			assertThat(write.expectedVersion(), is(0L));
+			assertThat(ClaimBookTests.this.book.writeDone(write, new StoreWrite.Written(1), TIME),
+					contains(new Granted(ID)));
+		}
+
+		// Guards against one write for each claim, which exceeds the store's rate.
+		@Test
+		void groupsClaimsThatWait() {
+			WriteBucket write = startWriting();
+			for (int i = 0; i < 3; i++) {
+				assertThat(ClaimBookTests.this.book.claim(new Hash128(2, i), new Hash128(6, i), TIME), hasSize(0));
+			}
+			List<ClaimCommand> next = ClaimBookTests.this.book.writeDone(write, new StoreWrite.Written(1), TIME);
+			assertThat(next, hasSize(2));
+			assertThat(ClaimText.read(((WriteBucket) next.get(1)).value()), hasSize(4));
+		}
+
+		// Guards against a lost answer that refuses or doubles a claimed request.
+		@Test
+		void settlesALostAnswerByReadingBack() {
+			WriteBucket write = startWriting();
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.writeDone(write, new StoreWrite.Unsure(), TIME)
+				.get(0);
+			assertThat(ClaimBookTests.this.book.readDone(read, new StoreRead.Value(1, write.value()), TIME),
+					contains(new Granted(ID)));
+		}
+
+		// Guards against handing over without a claim while the store is down.
+		@Test
+		void deniesWhenTheStoreIsDown() {
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.claim(ID, KEY, TIME).get(0);
+			assertThat(ClaimBookTests.this.book.readDone(read, new StoreRead.Failed(), TIME),
+					contains(new Denied(ID, ClaimCommand.DenialReason.STORE_UNAVAILABLE)));
+			assertThat(ClaimBookTests.this.book.waiting(), is(0));
+		}
+
+		// Guards against a value that grows beyond the store's bound.
+		@Test
+		void deniesWhenTheBucketIsFull() {
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.claim(ID, KEY, TIME).get(0);
+			Claim[] claims = new Claim[4];
+			for (int i = 0; i < 4; i++) {
+				claims[i] = new Claim(new Hash128(8, i), "agent-2", 1, i, 999);
+			}
+			assertThat(ClaimBookTests.this.book.readDone(read, value(claims), TIME),
+					contains(new Denied(ID, ClaimCommand.DenialReason.BUCKET_FULL)));
+		}
+
+	}
+
+	@Nested
+	class ClaimsOfOthers {
+
+		private final Claim other = new Claim(KEY, "agent-2", 1, 4, 900);
+
+		private ResolveAt ask() {
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.claim(ID, KEY, TIME).get(0);
+			return (ResolveAt) ClaimBookTests.this.book.readDone(read, value(this.other), TIME).get(0);
+		}
+
+		// Guards against running a key that another agent may have run.
+		@Test
+		void areNotOverwrittenWhenTheOutcomeIsUnknown() {
+			List<ClaimCommand> next = ClaimBookTests.this.book.resolved(ask(), new Resolution.Unknown(), TIME);
+			assertThat(next, contains(new ClaimedElsewhere(ID, this.other, new Resolution.Unknown())));
+		}
+
+		// Guards against a key that stays blocked although its request never ran.
+		@Test
+		void areReplacedWhenTheRequestDidNotRun() {
+			List<ClaimCommand> next = ClaimBookTests.this.book.resolved(ask(), new Resolution.NotRun(), TIME);
+			assertThat(next.get(0), instanceOf(WriteBucket.class));
+			assertThat(((WriteBucket) next.get(0)).expectedVersion(), is(9L));
+		}
+
+		// Guards against keys that stay claimed for ever.
+		@Test
+		void areDroppedAfterTheRetention() {
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.claim(ID, KEY, TIME).get(0);
+			Claim old = new Claim(KEY, "agent-2", 1, 4, 400);
+			assertThat(ClaimBookTests.this.book.readDone(read, value(old), TIME).get(0), instanceOf(WriteBucket.class));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/record/RequestRecordTests.java
@@ -0,0 +1,120 @@
+package org.baobabknot.record;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link RequestRecord}.
+ */
+class RequestRecordTests {
+
+	private static final long INCARNATION = 7;
+
+	private static final Hash128 ID = new Hash128(1, 1);
+
+	private static final Hash128 OTHER_ID = new Hash128(1, 2);
+
+	private static final Hash128 KEY = Hash128.digest("orders", "inn", "key");
+
+	private static final Hash128 PRINT = Hash128.digest("body");
+
+	private static final StoredResult RESULT = new StoredResult(201, List.of(), "", "", new byte[100]);
+
+	private final RequestRecord record = new RequestRecord(new RecordSettings(3, 1000, 128, 150), INCARNATION);
+
+	private void run(Hash128 id, Hash128 key, long now) {
+		this.record.begin(id, key, PRINT, now);
+		this.record.tryHandOver(id);
+		this.record.finished(id, RESULT, now);
+	}
+
+	@Nested
+	class Repeats {
+
+		// Guards against a repeat of the same id that runs again.
+		@Test
+		void areAnsweredWithTheFirstResult() {
+			run(ID, KEY, 0);
+			assertThat(RequestRecordTests.this.record.begin(ID, KEY, PRINT, 1), is(new Begin.Ran(RESULT)));
+			assertThat(RequestRecordTests.this.record.begin(OTHER_ID, KEY, PRINT, 1), is(new Begin.Ran(RESULT)));
+		}
+
+		// Guards against answering one request with the result of another.
+		@Test
+		void withOtherContentAreRefused() {
+			run(ID, KEY, 0);
+			assertThat(RequestRecordTests.this.record.begin(OTHER_ID, KEY, Hash128.digest("other"), 1),
+					instanceOf(Begin.KeyReused.class));
+		}
+
+		// Guards against handing a request over twice.
+		@Test
+		void handOverOnce() {
+			RequestRecordTests.this.record.begin(ID, null, PRINT, 0);
+			assertThat(RequestRecordTests.this.record.tryHandOver(ID), is(true));
+			assertThat(RequestRecordTests.this.record.tryHandOver(ID), is(false));
+			assertThat(RequestRecordTests.this.record.begin(ID, null, PRINT, 0), instanceOf(Begin.Running.class));
+		}
+
+	}
+
+	@Nested
+	class Resolving {
+
+		// Guards against a request that runs after its entry was told NOT_RUN.
+		@Test
+		void leavesATombstone() {
+			assertThat(RequestRecordTests.this.record.resolve(ID, INCARNATION, 0), instanceOf(Resolution.NotRun.class));
+			assertThat(RequestRecordTests.this.record.begin(ID, null, PRINT, 1), instanceOf(Begin.Tombstoned.class));
+		}
+
+		// Guards against a waiting request that is handed over after NOT_RUN.
+		@Test
+		void stopsAWaitingRequest() {
+			RequestRecordTests.this.record.begin(ID, KEY, PRINT, 0);
+			assertThat(RequestRecordTests.this.record.resolve(ID, INCARNATION, 0), instanceOf(Resolution.NotRun.class));
+			assertThat(RequestRecordTests.this.record.tryHandOver(ID), is(false));
+		}
+
+		// Guards against a restarted agent that claims to know what ran before.
+		@Test
+		void ofAnEarlierIncarnationIsUnknown() {
+			assertThat(RequestRecordTests.this.record.resolve(ID, INCARNATION - 1, 0),
+					instanceOf(Resolution.Unknown.class));
+		}
+
+	}
+
+	@Nested
+	class Bounds {
+
+		// Guards against evicting a request whose repeat would then run again.
+		@Test
+		void refuseInsteadOfEvictingEarly() {
+			for (int i = 0; i < 3; i++) {
+				run(new Hash128(2, i), new Hash128(3, i), 0);
+			}
+			assertThat(RequestRecordTests.this.record.begin(ID, KEY, PRINT, 999), instanceOf(Begin.Full.class));
+			assertThat(RequestRecordTests.this.record.begin(ID, KEY, PRINT, 1000), instanceOf(Begin.Fresh.class));
+		}
+
+		// Guards against kept bodies that grow without bound.
+		@Test
+		void dropTheOldestBodies() {
+			run(ID, null, 0);
+			run(OTHER_ID, null, 0);
+			Begin.Ran first = (Begin.Ran) RequestRecordTests.this.record.begin(ID, null, PRINT, 1);
+			Begin.Ran second = (Begin.Ran) RequestRecordTests.this.record.begin(OTHER_ID, null, PRINT, 1);
+			assertThat(first.result().replayable(), is(false));
+			assertThat(second.result().replayable(), is(true));
+		}
+
+	}
+
+}
