--- /dev/null
+++ b/core/src/main/java/org/baobabknot/routing/Balancer.java
@@ -0,0 +1,312 @@
+package org.baobabknot.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.baobabknot.hashing.RendezvousHash;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Routing table of an entry: chooses the agent for each request. The better of two random
+ * agents gets the request; requests with a common prompt prefix stay together as long as
+ * their agent has no more than its share of the load. Agents of the own failure domain
+ * come first, other domains are used under pressure. Thread-safe.
+ */
+public final class Balancer {
+
+	private final Object lock = new Object();
+
+	private final BalancerSettings settings;
+
+	private final RandomGenerator random;
+
+	private final Map<String, AgentLoad> agents = new HashMap<>();
+
+	private final Map<String, Map<String, AgentLoad>> byService = new HashMap<>();
+
+	private Set<String> domainsOut = Set.of();
+
+	/**
+	 * Creates an empty table.
+	 * @param settings settings
+	 * @param random source of random choices; used under the lock of this table only
+	 */
+	public Balancer(BalancerSettings settings, RandomGenerator random) {
+		this.settings = settings;
+		this.random = random;
+	}
+
+	/**
+	 * Adds an agent that this process is connected to. A known agent stays as it is.
+	 * @param agent instance name
+	 * @param service service of its target
+	 * @param domain failure domain
+	 */
+	public void add(String agent, String service, String domain) {
+		synchronized (this.lock) {
+			if (!this.agents.containsKey(agent)) {
+				AgentLoad load = new AgentLoad(agent, service, domain);
+				this.agents.put(agent, load);
+				this.byService.computeIfAbsent(service, (name) -> new LinkedHashMap<>()).put(agent, load);
+			}
+		}
+	}
+
+	/**
+	 * Removes an agent that this process is no longer connected to.
+	 * @param agent instance name
+	 */
+	public void remove(String agent) {
+		synchronized (this.lock) {
+			AgentLoad removed = this.agents.remove(agent);
+			if (removed != null) {
+				ofService(removed.service).remove(agent);
+			}
+		}
+	}
+
+	/**
+	 * Replaces the set of failure domains that are out of service.
+	 * @param domains names of failure domains
+	 */
+	public void domainsOut(Collection<String> domains) {
+		synchronized (this.lock) {
+			this.domainsOut = new HashSet<>(domains);
+		}
+	}
+
+	/**
+	 * Marks an agent as leaving or not leaving according to the member list.
+	 * @param agent instance name
+	 * @param leaving whether it is leaving
+	 */
+	public void leaving(String agent, boolean leaving) {
+		synchronized (this.lock) {
+			AgentLoad load = this.agents.get(agent);
+			if (load != null) {
+				load.leaving = leaving;
+			}
+		}
+	}
+
+	/**
+	 * Takes in a load report.
+	 * @param agent instance name
+	 * @param report what the agent reported
+	 * @param nowNanos monotonic time
+	 */
+	public void update(String agent, LoadReport report, long nowNanos) {
+		synchronized (this.lock) {
+			AgentLoad load = this.agents.get(agent);
+			if (load != null) {
+				load.update(report);
+			}
+		}
+	}
+
+	/**
+	 * Counts a request that is sent to an agent.
+	 * @param agent instance name
+	 */
+	public void started(String agent) {
+		synchronized (this.lock) {
+			AgentLoad load = this.agents.get(agent);
+			if (load != null) {
+				load.started();
+			}
+		}
+	}
+
+	/**
+	 * Ends a request that was started.
+	 * @param agent instance name
+	 * @param success whether the target answered; false for failures and lost connections
+	 * @param latencyNanos time until the first byte of the answer, in nanoseconds
+	 * @param nowNanos monotonic time
+	 */
+	public void finished(String agent, boolean success, long latencyNanos, long nowNanos) {
+		synchronized (this.lock) {
+			AgentLoad load = this.agents.get(agent);
+			if (load != null) {
+				load.finished(success, latencyNanos, nowNanos, this.settings);
+			}
+		}
+	}
+
+	/**
+	 * Ends a request that was started and says nothing about the target, because it was
+	 * refused or canceled.
+	 * @param agent instance name
+	 */
+	public void abandoned(String agent) {
+		synchronized (this.lock) {
+			AgentLoad load = this.agents.get(agent);
+			if (load != null) {
+				load.abandoned();
+			}
+		}
+	}
+
+	/**
+	 * Chooses the agent for a request. Does not count the request as started.
+	 * @param request what the choice depends on
+	 * @param excluded agents that already refused or failed this request
+	 * @param nowNanos monotonic time
+	 * @return the choice, or nothing when no agent accepts requests
+	 */
+	public Optional<Choice> choose(RoutingRequest request, Set<String> excluded, long nowNanos) {
+		synchronized (this.lock) {
+			List<AgentLoad> accepting = new ArrayList<>();
+			for (AgentLoad load : ofService(request.service()).values()) {
+				if (load.accepts() && !this.domainsOut.contains(load.domain) && !excluded.contains(load.name)) {
+					accepting.add(load);
+				}
+			}
+			List<AgentLoad> healthy = new ArrayList<>(accepting);
+			healthy.removeIf((load) -> load.held(nowNanos));
+			if (healthy.isEmpty()) {
+				return Optional.ofNullable(best(accepting, nowNanos))
+					.map((load) -> choice(load, Choice.Kind.LAST_RESORT));
+			}
+			AgentLoad home = home(request, healthy);
+			if (home != null) {
+				return Optional.of(choice(home, Choice.Kind.AFFINITY));
+			}
+			return Optional.of(byLoad(request, healthy, nowNanos));
+		}
+	}
+
+	private Choice byLoad(RoutingRequest request, List<AgentLoad> healthy, long nowNanos) {
+		List<AgentLoad> local = new ArrayList<>(healthy);
+		local.removeIf((load) -> !load.domain.equals(this.settings.ownDomain()));
+		double localPressure = pressure(local);
+		List<AgentLoad> candidates = local;
+		if (localPressure > this.settings.spillPressure()) {
+			candidates = new ArrayList<>(local);
+			candidates.addAll(lessPressed(healthy, localPressure));
+		}
+		AgentLoad preferred = byPrefix(request, candidates);
+		if (preferred != null) {
+			return choice(preferred, Choice.Kind.AFFINITY);
+		}
+		AgentLoad chosen = best(candidates, nowNanos);
+		if (chosen == null) {
+			throw new IllegalStateException("no candidate among " + healthy.size() + " agents");
+		}
+		boolean own = chosen.domain.equals(this.settings.ownDomain());
+		return choice(chosen, own ? Choice.Kind.LOCAL : Choice.Kind.SPILLED);
+	}
+
+	private static Choice choice(AgentLoad load, Choice.Kind kind) {
+		return new Choice(load.name, load.domain, kind);
+	}
+
+	// Agents of the other domains whose pressure is lower than that of the own domain.
+	private List<AgentLoad> lessPressed(List<AgentLoad> healthy, double localPressure) {
+		Map<String, List<AgentLoad>> byDomain = new LinkedHashMap<>();
+		for (AgentLoad load : healthy) {
+			if (!load.domain.equals(this.settings.ownDomain())) {
+				byDomain.computeIfAbsent(load.domain, (domain) -> new ArrayList<>()).add(load);
+			}
+		}
+		List<AgentLoad> chosen = new ArrayList<>();
+		for (List<AgentLoad> domain : byDomain.values()) {
+			if (pressure(domain) < localPressure) {
+				chosen.addAll(domain);
+			}
+		}
+		return chosen;
+	}
+
+	// Infinite without agents, so that every other domain counts as less pressed.
+	private static double pressure(List<AgentLoad> loads) {
+		double requests = 0;
+		double limits = 0;
+		for (AgentLoad load : loads) {
+			requests += load.requests();
+			limits += load.limit();
+		}
+		return (limits > 0) ? requests / limits : Double.POSITIVE_INFINITY;
+	}
+
+	@Nullable private AgentLoad home(RoutingRequest request, List<AgentLoad> healthy) {
+		return request.hashed(RoutingRequest.Affinity.HOME)
+			.flatMap((key) -> RendezvousHash.first(key, healthy, (load) -> load.name))
+			.orElse(null);
+	}
+
+	@Nullable private AgentLoad byPrefix(RoutingRequest request, List<AgentLoad> candidates) {
+		Optional<String> key = request.hashed(RoutingRequest.Affinity.PREFIX);
+		if (key.isEmpty()) {
+			return null;
+		}
+		double bound = this.settings.boundedLoad() * meanLoad(candidates);
+		for (AgentLoad load : RendezvousHash.rank(key.get(), candidates, (candidate) -> candidate.name)) {
+			if (load.relativeLoad() <= bound) {
+				return load;
+			}
+		}
+		return null;
+	}
+
+	private static double meanLoad(List<AgentLoad> candidates) {
+		double sum = 0;
+		for (AgentLoad load : candidates) {
+			sum += load.relativeLoad();
+		}
+		return sum / candidates.size();
+	}
+
+	@Nullable private AgentLoad best(List<AgentLoad> candidates, long nowNanos) {
+		int count = candidates.size();
+		if (count == 0) {
+			return null;
+		}
+		AgentLoad first = candidates.get(this.random.nextInt(count));
+		if (count == 1) {
+			return first;
+		}
+		AgentLoad second = candidates.get(this.random.nextInt(count - 1));
+		if (second == first) {
+			second = candidates.get(count - 1);
+		}
+		return (cost(first, second, nowNanos) <= cost(second, first, nowNanos)) ? first : second;
+	}
+
+	// An agent whose latency is not known is given the latency of the other one.
+	private static double cost(AgentLoad load, AgentLoad other, long nowNanos) {
+		double latency = load.latencyAt(nowNanos);
+		if (latency == 0) {
+			latency = Math.max(1, other.latencyAt(nowNanos));
+		}
+		return latency * load.relativeLoad() * load.successPenalty();
+	}
+
+	/**
+	 * Returns the pressure of a failure domain for a service: requests running and queued
+	 * divided by the sum of the limits of its accepting agents.
+	 * @param service the service
+	 * @param domain the failure domain
+	 * @return the pressure, infinite when no agent accepts requests
+	 */
+	public double pressure(String service, String domain) {
+		synchronized (this.lock) {
+			List<AgentLoad> loads = new ArrayList<>(ofService(service).values());
+			loads.removeIf((load) -> !load.domain.equals(domain) || !load.accepts());
+			return pressure(loads);
+		}
+	}
+
+	private Map<String, AgentLoad> ofService(String service) {
+		return this.byService.getOrDefault(service, Map.of());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/routing/Choice.java
@@ -0,0 +1,39 @@
+package org.baobabknot.routing;
+
+/**
+ * The agent that gets a request.
+ *
+ * @param agent instance name of the agent
+ * @param failureDomain failure domain of the agent
+ * @param kind how it was chosen
+ */
+public record Choice(String agent, String failureDomain, Kind kind) {
+
+	/**
+	 * Ways in which an agent is chosen.
+	 */
+	public enum Kind {
+
+		/**
+		 * By load, in the own failure domain.
+		 */
+		LOCAL,
+
+		/**
+		 * By load, in another failure domain.
+		 */
+		SPILLED,
+
+		/**
+		 * By the affinity of the request.
+		 */
+		AFFINITY,
+
+		/**
+		 * As a last resort: every agent failed recently.
+		 */
+		LAST_RESORT
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/routing/Subset.java
@@ -0,0 +1,104 @@
+package org.baobabknot.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.baobabknot.hashing.RendezvousHash;
+
+/**
+ * Chooses which entries connect to which agents. The choice depends only on the names, so
+ * processes with the same member list agree on it, and the connections of one process
+ * depend on the ratio of agents to entries and not on the size of the fleet.
+ */
+public final class Subset {
+
+	private static final int ENTRIES_IN_OWN_DOMAIN = 4;
+
+	private static final int ENTRIES_IN_OTHER_DOMAINS = 1;
+
+	private static final int AGENTS_IN_OWN_DOMAIN = 8;
+
+	private static final int AGENTS_IN_OTHER_DOMAINS = 2;
+
+	private Subset() {
+	}
+
+	/**
+	 * Returns the entries that connect to an agent on the agent's account: the 4
+	 * highest-ranked entries of its own failure domain and 1 of each other one.
+	 * @param agent the agent
+	 * @param entries all live entries
+	 * @return names of entries
+	 */
+	public static Set<String> entriesFor(Node agent, Collection<Node> entries) {
+		return ranked(agent, entries, ENTRIES_IN_OWN_DOMAIN, ENTRIES_IN_OTHER_DOMAINS);
+	}
+
+	/**
+	 * Returns the agents of one service that an entry connects to: those that the entry
+	 * is chosen for, and at least the 8 highest-ranked agents of its own failure domain
+	 * and 2 of each other one.
+	 * @param entry the entry
+	 * @param entries all live entries, including this one
+	 * @param agents all live agents of the service
+	 * @return names of agents
+	 */
+	public static Set<String> agentsFor(Node entry, Collection<Node> entries, Collection<Node> agents) {
+		Set<String> chosen = ranked(entry, agents, AGENTS_IN_OWN_DOMAIN, AGENTS_IN_OTHER_DOMAINS);
+		Map<String, List<Node>> entriesByDomain = byDomain(entries);
+		List<Node> peers = entriesByDomain.getOrDefault(entry.failureDomain(), List.of());
+		for (Node agent : agents) {
+			boolean own = agent.failureDomain().equals(entry.failureDomain());
+			int count = own ? ENTRIES_IN_OWN_DOMAIN : ENTRIES_IN_OTHER_DOMAINS;
+			if (isAmongFirst(entry, agent, peers, count)) {
+				chosen.add(agent.name());
+			}
+		}
+		return chosen;
+	}
+
+	// Only the entries of the same failure domain compete with each other for an agent.
+	private static boolean isAmongFirst(Node entry, Node agent, List<Node> peers, int count) {
+		long own = RendezvousHash.score(agent.name(), entry.name());
+		int better = 0;
+		for (Node peer : peers) {
+			if (peer.name().equals(entry.name())) {
+				continue;
+			}
+			int byScore = Long.compareUnsigned(RendezvousHash.score(agent.name(), peer.name()), own);
+			if (byScore > 0 || (byScore == 0 && peer.name().compareTo(entry.name()) < 0)) {
+				better++;
+				if (better >= count) {
+					return false;
+				}
+			}
+		}
+		return true;
+	}
+
+	private static Set<String> ranked(Node key, Collection<Node> nodes, int inOwnDomain, int inOtherDomains) {
+		Set<String> chosen = new HashSet<>();
+		byDomain(nodes).forEach((domain, members) -> {
+			int count = domain.equals(key.failureDomain()) ? inOwnDomain : inOtherDomains;
+			RendezvousHash.rank(key.name(), members, Node::name)
+				.stream()
+				.limit(count)
+				.forEach((node) -> chosen.add(node.name()));
+		});
+		return chosen;
+	}
+
+	private static Map<String, List<Node>> byDomain(Collection<Node> nodes) {
+		Map<String, List<Node>> byDomain = new TreeMap<>();
+		for (Node node : nodes) {
+			byDomain.computeIfAbsent(node.failureDomain(), (domain) -> new ArrayList<>()).add(node);
+		}
+		return byDomain;
+	}
+
+}
