--- a/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
+++ b/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
@@ -1,7 +1,5 @@
 package org.baobabknot.admission;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.EnumSet;
 import java.util.Optional;
 import java.util.Set;
@@ -19,19 +17,12 @@
 
 	private static final double FAILURE_FACTOR = 0.9;
 
-	/**
-	 * Reports lag by seconds at most, so that a report can be only a few restarts old.
-	 */
-	private static final int RETIRED_INCARNATIONS = 32;
-
 	private final Object lock = new Object();
 
 	private final LimiterSettings settings;
 
 	private final Set<CloseReason> closed = EnumSet.noneOf(CloseReason.class);
 
-	private final Deque<Long> retired = new ArrayDeque<>();
-
 	private final LatencyFloor latency = new LatencyFloor();
 
 	private double limit;
@@ -48,8 +39,16 @@
 
 	private boolean reportedCold;
 
+	private long reportedColdNanos;
+
 	private boolean observed;
 
+	private boolean blind;
+
+	private long blindNanos;
+
+	private long confirmedNanos;
+
 	private boolean incarnationKnown;
 
 	private long incarnation;
@@ -129,38 +128,38 @@
 	}
 
 	/**
-	 * Takes in a status report of the target. Reports of an incarnation that was replaced
-	 * are ignored, because reports can arrive late.
+	 * Takes in a status report of the target. Reports can arrive late and out of order,
+	 * so one that contradicts what is known counts only if it was asked for after the
+	 * known state was last confirmed. Otherwise it is not clear which of the two is
+	 * current, and nothing starts until a report that is asked for from now on arrives.
 	 * @param reportedIncarnation incarnation of the target
 	 * @param cold whether the target says that it is cold
+	 * @param askedNanos monotonic time at which the report was asked for
 	 * @param nowNanos monotonic time
 	 */
-	public void targetObserved(long reportedIncarnation, boolean cold, long nowNanos) {
+	public void targetObserved(long reportedIncarnation, boolean cold, long askedNanos, long nowNanos) {
 		synchronized (this.lock) {
-			if (this.retired.contains(reportedIncarnation)) {
+			boolean current = this.incarnationKnown && reportedIncarnation == this.incarnation;
+			if (this.incarnationKnown && !current && askedNanos - this.confirmedNanos < 0) {
+				becomeBlind(nowNanos);
 				return;
 			}
-			if (!this.incarnationKnown || reportedIncarnation != this.incarnation) {
-				retireIncarnation();
-				this.incarnation = reportedIncarnation;
-				this.incarnationKnown = true;
+			if (!current || (cold && !this.reportedCold)) {
 				fall(nowNanos);
 			}
-			else if (cold && !this.reportedCold) {
-				fall(nowNanos);
+			if (cold || !current || askedNanos - this.reportedColdNanos >= 0) {
+				this.reportedCold = cold;
+			}
+			if (cold) {
+				this.reportedColdNanos = nowNanos;
+			}
+			this.incarnation = reportedIncarnation;
+			this.incarnationKnown = true;
+			this.confirmedNanos = nowNanos;
+			if (!this.observed && (!this.blind || askedNanos - this.blindNanos >= 0)) {
+				this.observed = true;
+				this.blind = false;
 			}
-			this.reportedCold = cold;
-			this.observed = true;
-		}
-	}
-
-	private void retireIncarnation() {
-		if (!this.incarnationKnown) {
-			return;
-		}
-		this.retired.addLast(this.incarnation);
-		if (this.retired.size() > RETIRED_INCARNATIONS) {
-			this.retired.removeFirst();
 		}
 	}
 
@@ -171,11 +170,17 @@
 	 */
 	public void connectionLost(long nowNanos) {
 		synchronized (this.lock) {
-			fall(nowNanos);
-			this.observed = !this.settings.reportsStatus();
+			becomeBlind(nowNanos);
 		}
 	}
 
+	private void becomeBlind(long nowNanos) {
+		fall(nowNanos);
+		this.observed = !this.settings.reportsStatus();
+		this.blind = true;
+		this.blindNanos = nowNanos;
+	}
+
 	private void fall(long nowNanos) {
 		this.limit = this.settings.coldLimit();
 		this.epoch++;
--- a/core/src/main/java/org/baobabknot/admission/package-info.java
+++ b/core/src/main/java/org/baobabknot/admission/package-info.java
@@ -4,7 +4,7 @@
  *
  * <pre>{@code
  * TargetLimiter limiter = new TargetLimiter(LimiterSettings.reporting(2, 16));
- * limiter.targetObserved(incarnation, false, now);
+ * limiter.targetObserved(incarnation, false, asked, now);
  * if (limiter.tryStart(now) instanceof Decision.Admitted admitted) {
  *     // ... run the request ...
  *     limiter.finished(Observation.healthy(admitted, latencyNanos), now);
--- a/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
+++ b/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
@@ -30,7 +30,7 @@
 	}
 
 	private void warmUp() {
-		this.limiter.targetObserved(1, false, this.now);
+		this.limiter.targetObserved(1, false, this.now, this.now);
 		for (int round = 0; round < 10; round++) {
 			List<Decision.Admitted> admitted = startAll();
 			this.now += 10 * MILLIS;
@@ -50,14 +50,14 @@
 		// Guards against a limiter that starts at full rate.
 		@Test
 		void startsAtTheColdLimit() {
-			TargetLimiterTests.this.limiter.targetObserved(1, true, 0);
+			TargetLimiterTests.this.limiter.targetObserved(1, true, 0, 0);
 			assertThat(startAll().size(), is(2));
 		}
 
 		// Guards against a ramp that ignores what the target reports.
 		@Test
 		void staysAtTheColdLimitWhileTheTargetIsCold() {
-			TargetLimiterTests.this.limiter.targetObserved(1, true, 0);
+			TargetLimiterTests.this.limiter.targetObserved(1, true, 0, 0);
 			for (int i = 0; i < 50; i++) {
 				startAll()
 					.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
@@ -68,10 +68,11 @@
 		// Guards against a late report of the old process that opens the new one to full
 		// load.
 		@Test
-		void ignoresReportsOfAnEarlierIncarnation() {
+		void startsNothingAfterALateReportOfAnEarlierIncarnation() {
 			warmUp();
-			TargetLimiterTests.this.limiter.targetObserved(2, true, TargetLimiterTests.this.now);
-			TargetLimiterTests.this.limiter.targetObserved(1, false, TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(2, true, TargetLimiterTests.this.now,
+					TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(1, false, 0, TargetLimiterTests.this.now);
 			for (int i = 0; i < 50; i++) {
 				startAll()
 					.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
@@ -84,7 +85,8 @@
 		void ignoresCompletionsOfAnEarlierEpoch() {
 			warmUp();
 			List<Decision.Admitted> before = startAll();
-			TargetLimiterTests.this.limiter.targetObserved(2, false, TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(2, false, TargetLimiterTests.this.now,
+					TargetLimiterTests.this.now);
 			before.forEach((next) -> TargetLimiterTests.this.limiter.finished(Observation.healthy(next, MILLIS), 0));
 			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
 		}
@@ -107,7 +109,8 @@
 			warmUp();
 			TargetLimiterTests.this.limiter.connectionLost(TargetLimiterTests.this.now);
 			assertThat(startAll().size(), is(0));
-			TargetLimiterTests.this.limiter.targetObserved(1, false, TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(1, false, TargetLimiterTests.this.now,
+					TargetLimiterTests.this.now);
 			assertThat(startAll().size(), is(2));
 		}
 
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/schedule/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Seeded schedules of events for tests of decisions under delay, loss and crashes.
+ */
+@NullMarked
+package org.baobabknot.schedule;
+
+import org.jspecify.annotations.NullMarked;
