--- /dev/null
+++ b/core/src/main/java/org/baobabknot/time/TimelineEvent.java
@@ -0,0 +1,12 @@
+package org.baobabknot.time;
+
+/**
+ * A state change that a process reports.
+ *
+ * @param clock reading of the hybrid clock
+ * @param instance the instance on which it happened
+ * @param kind short name of the change
+ * @param detail what changed
+ */
+public record TimelineEvent(long clock, String instance, String kind, String detail) {
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/weights/StoreResult.java
@@ -0,0 +1,33 @@
+package org.baobabknot.weights;
+
+/**
+ * Result of storing a chunk.
+ */
+public sealed interface StoreResult {
+
+	/**
+	 * The chunk was verified and is held.
+	 *
+	 * @param index the chunk
+	 */
+	record Stored(int index) implements StoreResult {
+	}
+
+	/**
+	 * The chunk was held already; the bytes were dropped unread.
+	 *
+	 * @param index the chunk
+	 */
+	record Duplicate(int index) implements StoreResult {
+	}
+
+	/**
+	 * The bytes don't match the manifest and were dropped.
+	 *
+	 * @param index the chunk
+	 * @param detail what differs
+	 */
+	record Corrupt(int index, String detail) implements StoreResult {
+	}
+
+}
