Add the member list view

Processes get the list from the platform and from peers, so updates arrive late, twice and out of order.

--- /dev/null
+++ b/core/src/main/java/org/baobabknot/membership/Member.java
@@ -0,0 +1,28 @@
+package org.baobabknot.membership;
+
+/**
+ * One instance on the member list.
+ *
+ * @param instance unique name of the instance
+ * @param role what it does
+ * @param failureDomain its failure domain
+ * @param region its region
+ * @param host address for this viewer
+ * @param port process port
+ * @param service service of the target behind an agent; empty for an entry
+ * @param state whether it takes work
+ */
+public record Member(String instance, MemberRole role, String failureDomain, String region, String host, int port,
+		String service, MemberState state) {
+
+	/**
+	 * Returns this member in another state.
+	 * @param other the state
+	 * @return a copy
+	 */
+	public Member withState(MemberState other) {
+		return new Member(this.instance, this.role, this.failureDomain, this.region, this.host, this.port, this.service,
+				other);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/membership/MemberAdoption.java
@@ -0,0 +1,32 @@
+package org.baobabknot.membership;
+
+/**
+ * Result of applying an update to a {@link MembershipView}.
+ */
+public sealed interface MemberAdoption {
+
+	/**
+	 * The update is in force.
+	 *
+	 * @param version the new version
+	 */
+	record Applied(long version) implements MemberAdoption {
+	}
+
+	/**
+	 * The view has this version or a higher one.
+	 *
+	 * @param current version of the view
+	 */
+	record Outdated(long current) implements MemberAdoption {
+	}
+
+	/**
+	 * The changes build on a version above that of the view; pull from {@code current}.
+	 *
+	 * @param current version of the view
+	 */
+	record Gap(long current) implements MemberAdoption {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/membership/package-info.java
@@ -0,0 +1,13 @@
+/**
+ * The member list as this process knows it.
+ *
+ * <pre>{@code
+ * MembershipView view = new MembershipView();
+ * view.apply(MemberUpdate.full(12, members));
+ * List<Member> agents = view.agents("translation", "oberbayern");
+ * }</pre>
+ */
+@NullMarked
+package org.baobabknot.membership;
+
+import org.jspecify.annotations.NullMarked;
