--- /dev/null
+++ b/core/src/main/java/org/baobabknot/configuration/ConfigurationView.java
@@ -0,0 +1,78 @@
+package org.baobabknot.configuration;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+import org.baobabknot.rules.RuleSet;
+
+/**
+ * Holds the revision in force. Only higher revisions are adopted, so a delayed or
+ * repeated revision never reverts the rules. Thread-safe; reads take no lock.
+ */
+public final class ConfigurationView {
+
+	private final Object lock = new Object();
+
+	private final List<Consumer<Adoption.Adopted>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile Revision current = Revision.NONE;
+
+	/**
+	 * Adopts a revision if it is higher than the one in force.
+	 * @param offered the revision
+	 * @return what happened
+	 */
+	public Adoption adopt(Revision offered) {
+		Adoption.Adopted adopted;
+		synchronized (this.lock) {
+			Revision previous = this.current;
+			if (offered.revision() < previous.revision()) {
+				return new Adoption.Outdated(previous.revision());
+			}
+			if (offered.revision() == previous.revision()) {
+				return offered.changeId().equals(previous.changeId()) ? new Adoption.Outdated(previous.revision())
+						: new Adoption.Conflicting(previous, offered);
+			}
+			this.current = offered;
+			adopted = new Adoption.Adopted(previous, offered);
+		}
+		this.listeners.forEach((listener) -> listener.accept(adopted));
+		return adopted;
+	}
+
+	/**
+	 * Returns the revision in force.
+	 * @return the revision, {@link Revision#NONE} at first
+	 */
+	public Revision current() {
+		return this.current;
+	}
+
+	/**
+	 * Returns the number of the revision in force.
+	 * @return the number, 0 at first
+	 */
+	public long revision() {
+		return this.current.revision();
+	}
+
+	/**
+	 * Returns the rules in force.
+	 * @return the rules, empty at first
+	 */
+	public RuleSet rules() {
+		return this.current.rules();
+	}
+
+	/**
+	 * Adds a listener, called after each adoption without a lock held. Calls of
+	 * concurrent adoptions can come in any order; a listener that needs the latest
+	 * revision reads {@link #current()}.
+	 * @param listener gets the adoption
+	 */
+	public void listen(Consumer<Adoption.Adopted> listener) {
+		this.listeners.add(listener);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/rules/KnownNames.java
@@ -0,0 +1,78 @@
+package org.baobabknot.rules;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Names against which a text is checked. An empty set disables the check of its kind,
+ * because a process that adopts rules may not know the fleet yet.
+ *
+ * @param services services of the fleet
+ * @param workspaces workspaces of the rules in force, used for hints only
+ * @param domains failure domains of the fleet
+ */
+public record KnownNames(Set<String> services, Set<String> workspaces, Set<String> domains) {
+
+	/**
+	 * Longest distance of a hint: a third of the length of the name that was found. More
+	 * distant names have nothing in common with it.
+	 */
+	private static final int LETTERS_PER_EDIT = 3;
+
+	public KnownNames {
+		services = Set.copyOf(services);
+		workspaces = Set.copyOf(workspaces);
+		domains = Set.copyOf(domains);
+	}
+
+	/**
+	 * Returns no names, which disables all checks of names.
+	 * @return the empty names
+	 */
+	public static KnownNames none() {
+		return new KnownNames(Set.of(), Set.of(), Set.of());
+	}
+
+	/**
+	 * Finds the candidate most like a name.
+	 * @param name the name that was found
+	 * @param candidates known names
+	 * @return the nearest candidate, or nothing when none is similar
+	 */
+	public static Optional<String> nearest(String name, Collection<String> candidates) {
+		String best = null;
+		int bestDistance = Math.max(2, name.length() / LETTERS_PER_EDIT) + 1;
+		for (String candidate : candidates.stream().sorted().toList()) {
+			int distance = distance(name, candidate);
+			if (distance < bestDistance) {
+				best = candidate;
+				bestDistance = distance;
+			}
+		}
+		return Optional.ofNullable(best);
+	}
+
+	/**
+	 * Returns the edit distance in which insertions, deletions, replacements and swaps of
+	 * neighbours count one each.
+	 */
+	static int distance(String left, String right) {
+		int[][] table = new int[left.length() + 1][right.length() + 1];
+		for (int i = 0; i <= left.length(); i++) {
+			for (int j = 0; j <= right.length(); j++) {
+				table[i][j] = (i == 0 || j == 0) ? i + j : step(table, left, right, i, j);
+			}
+		}
+		return table[left.length()][right.length()];
+	}
+
+	private static int step(int[][] table, String left, String right, int i, int j) {
+		int replaced = table[i - 1][j - 1] + ((left.charAt(i - 1) != right.charAt(j - 1)) ? 1 : 0);
+		int best = Math.min(replaced, Math.min(table[i - 1][j], table[i][j - 1]) + 1);
+		boolean swapped = i > 1 && j > 1 && left.charAt(i - 1) == right.charAt(j - 2)
+				&& left.charAt(i - 2) == right.charAt(j - 1);
+		return swapped ? Math.min(best, table[i - 2][j - 2] + 1) : best;
+	}
+
+}
