--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/Acceptor.java
@@ -0,0 +1,125 @@
+package org.baobabknot.protocol;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Accepts connections from other processes. Bytes that are no valid frames close their
+ * connection and are counted; nothing else happens.
+ */
+public final class Acceptor {
+
+	private final EventLoopGroup group;
+
+	private final ConnectionSettings settings;
+
+	private final LocalState local;
+
+	private final ConnectionListener listener;
+
+	private final @Nullable SslContext tls;
+
+	private final ProtocolCounters counters;
+
+	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+	private volatile @Nullable Channel server;
+
+	/**
+	 * Creates an acceptor.
+	 * @param group event loops of the connections; an NIO group
+	 * @param settings limits and timeouts
+	 * @param local what this process tells its peers
+	 * @param listener receives the events of all accepted connections
+	 * @param tls server context, {@code null} for plain TCP
+	 * @param counters counts of events
+	 */
+	public Acceptor(EventLoopGroup group, ConnectionSettings settings, LocalState local, ConnectionListener listener,
+			@Nullable SslContext tls, ProtocolCounters counters) {
+		this.group = group;
+		this.settings = settings;
+		this.local = local;
+		this.listener = listener;
+		this.tls = tls;
+		this.counters = counters;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param host local address
+	 * @param port local port, 0 for any free one
+	 * @return completed with the bound address, exceptionally if the port is taken
+	 */
+	public CompletableFuture<InetSocketAddress> bind(String host, int port) {
+		CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, 1024)
+			.childHandler(new ChannelInitializer<>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					install(channel);
+				}
+			});
+		ChannelFuture binding = bootstrap.bind(host, port);
+		binding.addListener((future) -> {
+			if (future.isSuccess()) {
+				this.server = binding.channel();
+				bound.complete((InetSocketAddress) binding.channel().localAddress());
+			}
+			else {
+				bound.completeExceptionally(future.cause());
+			}
+		});
+		return bound;
+	}
+
+	/**
+	 * Number of open connections.
+	 * @return accepted connections, including those before Hello
+	 */
+	public int connections() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Stops listening; open connections continue.
+	 */
+	public void closeListener() {
+		Channel channel = this.server;
+		if (channel != null) {
+			channel.close();
+		}
+	}
+
+	/**
+	 * Stops listening and closes all connections.
+	 */
+	public void close() {
+		closeListener();
+		for (Connection connection : this.connections) {
+			connection.close(connection.failure("shutdown", "this process is closing"));
+		}
+	}
+
+	private void install(Channel channel) {
+		Connection connection = new Connection(channel, this.settings, this.local, this.counters, this.listener, false);
+		this.connections.add(connection);
+		connection.onClose().thenAccept((failure) -> this.connections.remove(connection));
+		Pipeline.install(channel, connection, this.settings, false, this.tls);
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/ConnectResult.java
@@ -0,0 +1,25 @@
+package org.baobabknot.protocol;
+
+/**
+ * Result of an attempt to connect: the connection is usable, or the step that failed is
+ * named.
+ */
+public sealed interface ConnectResult {
+
+	/**
+	 * The Hello messages have been exchanged.
+	 *
+	 * @param connection the open connection
+	 */
+	record Connected(Connection connection) implements ConnectResult {
+	}
+
+	/**
+	 * No connection was established.
+	 *
+	 * @param failure step and cause
+	 */
+	record NotConnected(Failure failure) implements ConnectResult {
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/ConnectionHandler.java
@@ -0,0 +1,136 @@
+package org.baobabknot.protocol;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Hello;
+
+/**
+ * Passes the events of a channel to its connection. The connecting side sends Hello
+ * first; the accepting side answers with its own after it has accepted the peer's, so a
+ * scanner learns nothing about the process.
+ */
+final class ConnectionHandler extends SimpleChannelInboundHandler<Frame> {
+
+	private static final long HELLO_CHECK_MS = 100;
+
+	private final Connection connection;
+
+	private final boolean connecting;
+
+	private boolean started;
+
+	ConnectionHandler(Connection connection, boolean connecting) {
+		this.connection = connection;
+		this.connecting = connecting;
+	}
+
+	/**
+	 * Starts the exchange of Hello once the channel is ready, after the TLS handshake if
+	 * there is one.
+	 * @param context context of this handler
+	 */
+	void start(ChannelHandlerContext context) {
+		if (this.started) {
+			return;
+		}
+		this.started = true;
+		if (this.connecting) {
+			this.connection.sendHello();
+		}
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		watchHello(context);
+		if (context.pipeline().get(SslHandler.class) == null) {
+			start(context);
+		}
+		context.fireChannelActive();
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof SslHandshakeCompletionEvent handshake) {
+			if (handshake.isSuccess()) {
+				start(context);
+			}
+			else {
+				this.connection.closeInLoop(this.connection.failure("tls", String.valueOf(handshake.cause())));
+			}
+		}
+		context.fireUserEventTriggered(event);
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+		if (this.connection.established()) {
+			this.connection.receive(frame);
+		}
+		else if (frame.hasHello() && frame.getStream() == 0) {
+			hello(frame.getHello());
+		}
+		else {
+			this.connection.violation("first frame is " + frame.getBodyCase() + ", expected HELLO");
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		this.connection.writabilityChanged();
+		context.fireChannelWritabilityChanged();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.connection.closeInLoop(this.connection.failure("connection", "closed by the peer"));
+		context.fireChannelInactive();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (cause instanceof DecoderException) {
+			this.connection.counters().garbage().increment();
+		}
+		this.connection.closeInLoop(this.connection.failure("connection", String.valueOf(cause)));
+	}
+
+	private void hello(Hello hello) {
+		if (hello.getProtocolVersion() != Connection.PROTOCOL_VERSION) {
+			refuse("protocol version " + hello.getProtocolVersion() + ", expected " + Connection.PROTOCOL_VERSION);
+			return;
+		}
+		Optional<String> refusal = this.connection.listener().refuse(hello);
+		if (refusal.isPresent()) {
+			refuse(refusal.get());
+			return;
+		}
+		if (!this.connecting) {
+			this.connection.sendHello();
+		}
+		this.connection.established(hello);
+	}
+
+	private void refuse(String detail) {
+		this.connection.counters().refusedHellos().increment();
+		this.connection.closeInLoop(this.connection.failure("hello", detail));
+	}
+
+	private void watchHello(ChannelHandlerContext context) {
+		context.executor().schedule(() -> {
+			if (this.connection.helloOverdue()) {
+				this.connection.closeInLoop(this.connection.failure("hello", "none arrived in time"));
+			}
+			else if (!this.connection.established() && context.channel().isActive()) {
+				watchHello(context);
+			}
+		}, HELLO_CHECK_MS, TimeUnit.MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/ConnectionListener.java
@@ -0,0 +1,76 @@
+package org.baobabknot.protocol;
+
+import java.util.Optional;
+
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Hello;
+import org.baobabknot.protocol.generated.Knowledge;
+import org.baobabknot.protocol.generated.Load;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Receives the events of connections. All methods are called on the event loop of the
+ * connection and must not block.
+ */
+public interface ConnectionListener {
+
+	/**
+	 * Decides whether the peer may use the connection, before anything else of it is
+	 * read.
+	 * @param hello identity and token of the peer
+	 * @return the reason to close the connection, empty to accept it
+	 */
+	default Optional<String> refuse(Hello hello) {
+		return Optional.empty();
+	}
+
+	/**
+	 * The Hello messages have been exchanged.
+	 * @param connection the open connection
+	 */
+	default void opened(Connection connection) {
+	}
+
+	/**
+	 * The peer opened a stream.
+	 * @param stream the new stream
+	 * @param first its first frame, which is not passed to the handler again
+	 * @return handler of later frames; {@code null} closes the stream on this side
+	 */
+	default @Nullable FrameHandler streamOpened(Stream stream, Frame first) {
+		return null;
+	}
+
+	/**
+	 * A frame on stream 0 other than Hello, Ping and Pong.
+	 * @param connection the connection
+	 * @param frame the frame
+	 */
+	default void received(Connection connection, Frame frame) {
+	}
+
+	/**
+	 * Knowledge from Hello, Ping or Pong of the peer.
+	 * @param connection the connection
+	 * @param knowledge what the peer knows
+	 */
+	default void knowledge(Connection connection, Knowledge knowledge) {
+	}
+
+	/**
+	 * A Pong arrived.
+	 * @param connection the connection
+	 * @param load load of the peer's target, {@code null} unless the peer is an agent
+	 */
+	default void pong(Connection connection, @Nullable Load load) {
+	}
+
+	/**
+	 * The connection is closed. Called after the handlers of its streams were told.
+	 * @param connection the connection
+	 * @param failure step and cause
+	 */
+	default void closed(Connection connection, Failure failure) {
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/ConnectionSettings.java
@@ -0,0 +1,51 @@
+package org.baobabknot.protocol;
+
+import java.time.Duration;
+
+import io.netty.util.concurrent.Ticker;
+
+/**
+ * Limits and timeouts of connections.
+ *
+ * @param connectTimeout time for the TCP connection and the TLS handshake, each
+ * @param helloTimeout time until the peer's Hello
+ * @param pingBusy interval of pings while streams are open
+ * @param pingIdle interval of pings otherwise
+ * @param pongTimeout time without a pong after which the connection is closed
+ * @param initialCredit bytes of body that a stream may send before the peer grants more
+ * @param maxFrame largest frame in bytes
+ * @param maxStreams streams that one peer may have open on a connection
+ * @param ticker clock of the timeouts
+ */
+public record ConnectionSettings(Duration connectTimeout, Duration helloTimeout, Duration pingBusy, Duration pingIdle,
+		Duration pongTimeout, int initialCredit, int maxFrame, int maxStreams, Ticker ticker) {
+
+	/** Largest frame in bytes. */
+	public static final int MAX_FRAME = 1 << 20;
+
+	/** Bytes of body in flight on a stream without further credit. */
+	public static final int INITIAL_CREDIT = 256 << 10;
+
+	/** Largest part in which bodies are sent, in bytes. */
+	public static final int MAX_PART = 64 << 10;
+
+	/**
+	 * The values of the design page: pings every 500 ms and 1 s, loss after 1.5 s.
+	 * @return default settings on the system's ticker
+	 */
+	public static ConnectionSettings defaults() {
+		return new ConnectionSettings(Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(500),
+				Duration.ofSeconds(1), Duration.ofMillis(1500), INITIAL_CREDIT, MAX_FRAME, 4096, Ticker.systemTicker());
+	}
+
+	/**
+	 * Replaces the clock, for tests that pause or advance time.
+	 * @param replacement the new clock
+	 * @return changed settings
+	 */
+	public ConnectionSettings withTicker(Ticker replacement) {
+		return new ConnectionSettings(this.connectTimeout, this.helloTimeout, this.pingBusy, this.pingIdle,
+				this.pongTimeout, this.initialCredit, this.maxFrame, this.maxStreams, replacement);
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/Failure.java
@@ -0,0 +1,18 @@
+package org.baobabknot.protocol;
+
+/**
+ * Describes why an exchange with a peer failed.
+ *
+ * @param step the step that failed, such as {@code connect}, {@code hello} or
+ * {@code ping}
+ * @param peer instance name or address of the peer
+ * @param detail the cause in one line
+ */
+public record Failure(String step, String peer, String detail) {
+
+	@Override
+	public String toString() {
+		return this.step + " with " + this.peer + " failed: " + this.detail;
+	}
+
+}
--- /dev/null
+++ b/protocol/src/main/java/org/baobabknot/protocol/ProtocolCounters.java
@@ -0,0 +1,27 @@
+package org.baobabknot.protocol;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts of events on connections, shared by all connections of a process.
+ *
+ * @param garbage connections closed because their bytes were no valid frames
+ * @param violations connections closed because the peer broke the rules of the protocol
+ * @param refusedHellos connections closed because the peer's Hello was refused
+ * @param lostPongs connections closed because a pong was overdue
+ * @param lateFrames frames dropped because their stream was closed
+ * @param framesIn frames received
+ * @param framesOut frames sent
+ */
+public record ProtocolCounters(LongAdder garbage, LongAdder violations, LongAdder refusedHellos, LongAdder lostPongs,
+		LongAdder lateFrames, LongAdder framesIn, LongAdder framesOut) {
+
+	/**
+	 * New counters at zero.
+	 */
+	public ProtocolCounters() {
+		this(new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(), new LongAdder(),
+				new LongAdder());
+	}
+
+}
