Test connections over real sockets

A peer that never completes a Hello is counted as garbage too: the text of an HTTP request looks like the length of a frame that never arrives, so only the timeout of 2 s ends it.

--- a/protocol/src/main/java/org/baobabknot/protocol/ConnectionHandler.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/ConnectionHandler.java
@@ -125,6 +125,7 @@
 	private void watchHello(ChannelHandlerContext context) {
 		context.executor().schedule(() -> {
 			if (this.connection.helloOverdue()) {
+				this.connection.counters().garbage().increment();
 				this.connection.closeInLoop(this.connection.failure("hello", "none arrived in time"));
 			}
 			else if (!this.connection.established() && context.channel().isActive()) {
--- a/protocol/src/main/java/org/baobabknot/protocol/ProtocolCounters.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/ProtocolCounters.java
@@ -5,7 +5,8 @@
 /**
  * Counts of events on connections, shared by all connections of a process.
  *
- * @param garbage connections closed because their bytes were no valid frames
+ * @param garbage connections closed because their bytes were no valid frames or held no
+ * Hello in time
  * @param violations connections closed because the peer broke the rules of the protocol
  * @param refusedHellos connections closed because the peer's Hello was refused
  * @param lostPongs connections closed because a pong was overdue
--- /dev/null
+++ b/protocol/src/test/java/org/baobabknot/protocol/ConnectionTests.java
@@ -0,0 +1,346 @@
+package org.baobabknot.protocol;
+
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.MockTicker;
+import io.netty.util.concurrent.Ticker;
+import org.baobabknot.protocol.generated.BodyEnd;
+import org.baobabknot.protocol.generated.BodyPart;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Hello;
+import org.baobabknot.protocol.generated.Knowledge;
+import org.baobabknot.protocol.generated.Load;
+import org.baobabknot.protocol.generated.RequestStart;
+import org.baobabknot.protocol.generated.ResponseStart;
+import org.baobabknot.protocol.generated.RulesPull;
+import org.baobabknot.protocol.generated.RulesValue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Connections over real sockets on the loopback interface.
+ */
+class ConnectionTests {
+
+	private static final long WAIT_SECONDS = 20;
+
+	private EventLoopGroup group;
+
+	private final ProtocolCounters serverCounters = new ProtocolCounters();
+
+	private final ProtocolCounters clientCounters = new ProtocolCounters();
+
+	private final MockTicker ticker = Ticker.newMockTicker();
+
+	private final Server server = new Server();
+
+	private Acceptor acceptor;
+
+	private InetSocketAddress address;
+
+	@BeforeEach
+	void listen() {
+		this.group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+		this.acceptor = new Acceptor(this.group, ConnectionSettings.defaults(), state("server"), this.server, null,
+				this.serverCounters);
+		this.address = this.acceptor.bind("127.0.0.1", 0).join();
+	}
+
+	@AfterEach
+	void stop() {
+		this.acceptor.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	private static LocalState state(String name) {
+		return new LocalState() {
+			@Override
+			public Hello hello() {
+				return Hello.newBuilder().setInstance(name).setIncarnation(7).build();
+			}
+
+			@Override
+			public Knowledge knowledge() {
+				return Knowledge.newBuilder().setRulesRevision(3).build();
+			}
+
+			@Override
+			public Load load() {
+				return Load.newBuilder().setLimit(9).build();
+			}
+		};
+	}
+
+	private Connection connect(ConnectionListener listener) throws Exception {
+		ConnectionSettings settings = ConnectionSettings.defaults().withTicker(this.ticker);
+		ConnectResult result = new Connector(this.group, settings, state("client"), null, this.clientCounters)
+			.connect("127.0.0.1", this.address.getPort(), listener)
+			.get(WAIT_SECONDS, TimeUnit.SECONDS);
+		assertThat(result, instanceOf(ConnectResult.Connected.class));
+		return ((ConnectResult.Connected) result).connection();
+	}
+
+	private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+		T value = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+		assertThat("nothing arrived in time", value != null);
+		return value;
+	}
+
+	/** Echoes bodies; answers pulls. */
+	private static final class Server implements ConnectionListener {
+
+		private final BlockingQueue<Failure> closed = new LinkedBlockingQueue<>();
+
+		private final AtomicLong received = new AtomicLong();
+
+		private volatile boolean reading = true;
+
+		private volatile String refusal = "";
+
+		@Override
+		public Optional<String> refuse(Hello hello) {
+			return (this.refusal.isEmpty()) ? Optional.empty() : Optional.of(this.refusal);
+		}
+
+		@Override
+		public FrameHandler streamOpened(Stream stream, Frame first) {
+			if (first.hasRulesPull()) {
+				stream.send(Frame.newBuilder().setRulesValue(RulesValue.newBuilder().setRevision(5)));
+				stream.close();
+				return null;
+			}
+			stream.send(Frame.newBuilder().setResponseStart(ResponseStart.newBuilder().setStatus(200)));
+			return this::echo;
+		}
+
+		private void echo(Stream stream, Frame frame) {
+			if (frame.hasBodyPart()) {
+				this.received.addAndGet(frame.getBodyPart().getData().size());
+				if (this.reading) {
+					stream.sendBody(frame.getBodyPart().getData());
+					stream.consumed(frame.getBodyPart().getData().size());
+				}
+			}
+			else if (frame.hasBodyEnd()) {
+				stream.send(Frame.newBuilder().setBodyEnd(frame.getBodyEnd()));
+				stream.close();
+			}
+		}
+
+		@Override
+		public void closed(Connection connection, Failure failure) {
+			this.closed.add(failure);
+		}
+
+	}
+
+	/** Exchanges on a healthy connection. */
+	@Nested
+	class Streams {
+
+		// Guards against a pull on a stream that is closed before its answer has left.
+		@Test
+		void answerSentJustBeforeCloseArrives() throws Exception {
+			Connection connection = connect(new ConnectionListener() {
+			});
+			BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
+			connection.open(Frame.newBuilder().setRulesPull(RulesPull.getDefaultInstance()),
+					(stream, frame) -> frames.add(frame));
+			assertThat(next(frames).getRulesValue().getRevision(), is(5L));
+			assertThat(connection.peer().getInstance(), is("server"));
+		}
+
+		// Guards against stalls and losses when credit runs out in both directions.
+		@Test
+		void largeBodyIsEchoedWholeWithSmallWindows() throws Exception {
+			Connection connection = connect(new ConnectionListener() {
+			});
+			long size = 8 << 20;
+			AtomicLong back = new AtomicLong();
+			CompletableFuture<Long> end = new CompletableFuture<>();
+			RequestStart start = RequestStart.newBuilder().setResponseCredit(1).build();
+			Stream stream = connection.open(Frame.newBuilder().setRequestStart(start), (on, frame) -> {
+				if (frame.hasBodyPart()) {
+					back.addAndGet(frame.getBodyPart().getData().size());
+					on.consumed(frame.getBodyPart().getData().size());
+				}
+				else if (frame.hasBodyEnd()) {
+					end.complete(frame.getBodyEnd().getLength());
+				}
+			});
+			ByteString part = ByteString.copyFrom(new byte[100_001]);
+			for (long sent = 0; sent < size; sent += part.size()) {
+				stream.sendBody(part);
+			}
+			stream.send(Frame.newBuilder().setBodyEnd(BodyEnd.newBuilder().setLength(size)));
+			assertThat(end.get(WAIT_SECONDS, TimeUnit.SECONDS), is(size));
+			assertThat(back.get(), equalTo(((size + part.size() - 1) / part.size()) * part.size()));
+		}
+
+		// Guards against a sender that floods a peer which does not read.
+		@Test
+		void senderStopsAtTheCreditOfAPeerThatDoesNotConsume() throws Exception {
+			ConnectionTests.this.server.reading = false;
+			Connection connection = connect(new ConnectionListener() {
+			});
+			Stream stream = connection.open(Frame.newBuilder().setRequestStart(RequestStart.getDefaultInstance()),
+					(on, frame) -> {
+					});
+			stream.sendBody(ByteString.copyFrom(new byte[2 << 20]));
+			connection.ping();
+			long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+			while (ConnectionTests.this.server.received.get() < ConnectionSettings.INITIAL_CREDIT
+					&& System.nanoTime() < limit) {
+				Thread.sleep(5);
+			}
+			Thread.sleep(50);
+			assertThat(ConnectionTests.this.server.received.get(), is((long) ConnectionSettings.INITIAL_CREDIT));
+			assertThat(stream.writable(), is(false));
+		}
+
+	}
+
+	/** Peers that are lost, wrong or malicious. */
+	@Nested
+	class Faults {
+
+		// Guards against open requests that wait for ever on a silent connection.
+		@Test
+		void overduePongClosesTheConnectionAndTellsItsStreams() throws Exception {
+			BlockingQueue<Failure> lost = new LinkedBlockingQueue<>();
+			Connection connection = connect(new ConnectionListener() {
+			});
+			connection.open(Frame.newBuilder().setRequestStart(RequestStart.getDefaultInstance()), new FrameHandler() {
+				@Override
+				public void received(Stream stream, Frame frame) {
+					// The answer is not looked at.
+				}
+
+				@Override
+				public void lost(Stream stream, Failure failure) {
+					lost.add(failure);
+				}
+			});
+			// A pong may come in before the check; advance until one check sees the gap.
+			Failure failure = null;
+			for (int i = 0; i < 200 && failure == null; i++) {
+				connection.eventLoop().execute(() -> {
+					connection.ping();
+					ConnectionTests.this.ticker.advance(2, TimeUnit.SECONDS);
+					sleep(110);
+				});
+				failure = lost.poll(200, TimeUnit.MILLISECONDS);
+			}
+			assertThat(failure, instanceOf(Failure.class));
+			assertThat(failure.step(), is("ping"));
+			assertThat(connection.isOpen(), is(false));
+		}
+
+		// Guards against a scanner or a wrong port that harms other connections.
+		@Test
+		void garbageClosesOnlyItsOwnConnectionAndIsCounted() throws Exception {
+			Connection good = connect(new ConnectionListener() {
+			});
+			assertThat(garbage("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes()), is(-1));
+			assertThat(garbage(new byte[] { -1, -1, -1, -1, -1, -1 }), is(-1));
+			assertThat(garbage(new byte[] { -1, -1, -1, 127, 0 }), is(-1));
+			assertThat(ConnectionTests.this.serverCounters.garbage().sum(), is(3L));
+			assertThat(good.isOpen(), is(true));
+		}
+
+		// Guards against requests from a peer that has not said who it is.
+		@Test
+		void firstFrameOtherThanHelloIsAViolation() throws Exception {
+			byte[] frame = Frame.newBuilder()
+				.setStream(1)
+				.setRulesPull(RulesPull.getDefaultInstance())
+				.build()
+				.toByteArray();
+			byte[] bytes = new byte[frame.length + 1];
+			bytes[0] = (byte) frame.length;
+			System.arraycopy(frame, 0, bytes, 1, frame.length);
+			assertThat(garbage(bytes), is(-1));
+			assertThat(ConnectionTests.this.serverCounters.violations().sum(), is(1L));
+		}
+
+		// Guards against a connection that holds memory without ever sending Hello.
+		@Test
+		void silentPeerIsClosedAfterTheHelloTimeout() throws Exception {
+			assertThat(garbage(new byte[0]), is(-1));
+		}
+
+		// Guards against use of a connection whose Hello was refused.
+		@Test
+		void refusedHelloFailsTheConnector() throws Exception {
+			ConnectionTests.this.server.refusal = "wrong token";
+			ConnectResult result = new Connector(ConnectionTests.this.group, ConnectionSettings.defaults(),
+					state("client"), null, ConnectionTests.this.clientCounters)
+				.connect("127.0.0.1", ConnectionTests.this.address.getPort(), new ConnectionListener() {
+				})
+				.get(WAIT_SECONDS, TimeUnit.SECONDS);
+			assertThat(result, instanceOf(ConnectResult.NotConnected.class));
+			assertThat(ConnectionTests.this.serverCounters.refusedHellos().sum(), is(1L));
+		}
+
+		// Guards against a peer that ignores flow control and fills the memory.
+		@Test
+		void bodyBeyondTheCreditIsAViolation() throws Exception {
+			ConnectionTests.this.server.reading = false;
+			Connection connection = connect(new ConnectionListener() {
+			});
+			Stream stream = connection.open(Frame.newBuilder().setRequestStart(RequestStart.getDefaultInstance()),
+					(on, frame) -> {
+					});
+			ByteString part = ByteString.copyFrom(new byte[ConnectionSettings.MAX_PART]);
+			connection.eventLoop().execute(() -> {
+				for (int i = 0; i < 5; i++) {
+					connection.write(
+							Frame.newBuilder().setStream(stream.id()).setBodyPart(BodyPart.newBuilder().setData(part)));
+				}
+			});
+			assertThat(next(ConnectionTests.this.server.closed).detail(), containsString("more body bytes"));
+			assertThat(ConnectionTests.this.serverCounters.violations().sum(), lessThanOrEqualTo(1L));
+		}
+
+		private void sleep(long millis) {
+			try {
+				Thread.sleep(millis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+		private int garbage(byte[] bytes) throws Exception {
+			try (Socket socket = new Socket("127.0.0.1", ConnectionTests.this.address.getPort())) {
+				socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
+				socket.getOutputStream().write(bytes);
+				InputStream in = socket.getInputStream();
+				return in.read();
+			}
+		}
+
+	}
+
+}
