Add the experiment script, the process launcher and the subcommand table

Experiments start the system as separate Java processes and have to end all of them, also on interruption. ProcessLauncher keeps a list of what it started, ends it by process id in a shutdown hook and on close, and keeps settings and logs in a temporary folder. A new experiment is one constant in Subcommands.

--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -0,0 +1,93 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Optional;
+
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * Main class of {@code ./experiment}. Exit status: 0 all checks held, 1 a check failed or
+ * the experiment could not be carried out, 2 wrong usage.
+ */
+public final class Experiment {
+
+	private static final int HELD = 0;
+
+	private static final int FAILED = 1;
+
+	private static final int USAGE = 2;
+
+	private Experiment() {
+	}
+
+	public static void main(String[] args) {
+		System.exit(run(args, System.out, System.err));
+	}
+
+	static int run(String[] args, PrintStream output, PrintStream progress) {
+		if (args.length == 0 || "--help".equals(args[0])) {
+			usage((args.length == 0) ? progress : output);
+			return (args.length == 0) ? USAGE : HELD;
+		}
+		Optional<Subcommands> subcommand = Subcommands.byName(args[0]);
+		if (subcommand.isEmpty()) {
+			progress.println("experiment: unknown subcommand \"" + args[0] + "\"");
+			usage(progress);
+			return USAGE;
+		}
+		return run(subcommand.get(), Arrays.copyOfRange(args, 1, args.length), output, progress);
+	}
+
+	private static int run(Subcommands entry, String[] args, PrintStream output, PrintStream progress) {
+		Subcommand subcommand = entry.create();
+		OptionParser parser = new OptionParser();
+		parser.accepts("help", "prints this help").forHelp();
+		parser.accepts("keep-logs", "keeps settings and logs of the processes and prints their folder");
+		subcommand.declare(parser);
+		try {
+			OptionSet options = parser.parse(args);
+			if (options.has("help")) {
+				output.println("./experiment " + entry.commandName() + ": " + entry.summary());
+				parser.printHelpOn(output);
+				return HELD;
+			}
+			return measure(subcommand, options, output, progress);
+		}
+		catch (OptionException ex) {
+			progress.println("experiment " + entry.commandName() + ": " + ex.getMessage());
+			return USAGE;
+		}
+		catch (IOException ex) {
+			progress.println("experiment: " + ex.getMessage());
+			return FAILED;
+		}
+	}
+
+	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output, PrintStream progress) {
+		try (ProcessLauncher launcher = ProcessLauncher.forRepository()) {
+			if (options.has("keep-logs")) {
+				launcher.keepFolder();
+				progress.println("settings and logs: " + launcher.folder());
+			}
+			Outcome outcome = subcommand.run(options, new ExperimentContext(launcher, progress));
+			output.println(outcome.figures().toString());
+			return outcome.held() ? HELD : FAILED;
+		}
+		catch (Exception ex) {
+			ex.printStackTrace(progress);
+			return FAILED;
+		}
+	}
+
+	private static void usage(PrintStream output) {
+		output.println("usage: ./experiment SUBCOMMAND [OPTIONS]   (--help after a subcommand lists its options)");
+		for (Subcommands entry : Subcommands.values()) {
+			output.println(String.format("  %-12s %s", entry.commandName(), entry.summary()));
+		}
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Outcome.java
@@ -0,0 +1,12 @@
+package org.baobabknot.experiment;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Result of an experiment.
+ *
+ * @param figures the measured figures, printed as one JSON line
+ * @param held whether every check of the experiment held
+ */
+public record Outcome(ObjectNode figures, boolean held) {
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -0,0 +1,244 @@
+package org.baobabknot.experiment;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Starts Java processes of this repository with their settings and logs in a temporary
+ * folder, and ends all of them on {@link #close} and when this process ends, also by
+ * SIGINT or SIGTERM.
+ */
+public final class ProcessLauncher implements AutoCloseable {
+
+	/** System property with the root folder of the repository. */
+	public static final String ROOT_PROPERTY = "baobabknot.root";
+
+	// The drain of an entry waits 5 s for the balancer; ending a run need not wait for
+	// it.
+	private static final long STOP_GRACE_MILLIS = 1_500;
+
+	// Small heaps and the first compiler tier only: about 50 processes share one machine.
+	private static final List<String> SMALL_PROCESS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+			"-XX:CICompilerCount=1", "-Xss512k", "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true");
+
+	private final Path root;
+
+	private final Path folder;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final List<LaunchedProcess> processes = new ArrayList<>();
+
+	private final Thread endAll = new Thread(this::stopAll, "end-processes");
+
+	private boolean closing;
+
+	private boolean keepFolder;
+
+	/**
+	 * Creates a launcher with a new temporary folder.
+	 * @param root the root folder of the repository
+	 */
+	public ProcessLauncher(Path root) {
+		this.root = root;
+		try {
+			this.folder = Files.createTempDirectory("baobabknot-");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		Runtime.getRuntime().addShutdownHook(this.endAll);
+	}
+
+	/**
+	 * Creates a launcher for the repository named by {@link #ROOT_PROPERTY}, or for the
+	 * current folder.
+	 * @return a new launcher
+	 */
+	public static ProcessLauncher forRepository() {
+		return new ProcessLauncher(Path.of(System.getProperty(ROOT_PROPERTY, ".")).toAbsolutePath().normalize());
+	}
+
+	/**
+	 * Returns the root folder of the repository.
+	 * @return the root folder
+	 */
+	public Path root() {
+		return this.root;
+	}
+
+	/**
+	 * Returns the temporary folder of this run.
+	 * @return the folder
+	 */
+	public Path folder() {
+		return this.folder;
+	}
+
+	/**
+	 * Keeps the temporary folder when this launcher is closed.
+	 */
+	public void keepFolder() {
+		this.keepFolder = true;
+	}
+
+	/**
+	 * Writes a settings file.
+	 * @param name the file name
+	 * @param content the settings
+	 * @return the path of the file
+	 */
+	public Path writeJson(String name, JsonNode content) {
+		return writeText(name, content.toPrettyString());
+	}
+
+	/**
+	 * Writes a record or any other value that Jackson can serialize as a settings file.
+	 * @param name the file name
+	 * @param content the value
+	 * @return the path of the file
+	 */
+	public Path writeJson(String name, Object content) {
+		return writeJson(name, this.mapper.<JsonNode>valueToTree(content));
+	}
+
+	/**
+	 * Writes a text file.
+	 * @param name the file name
+	 * @param text the text
+	 * @return the path of the file
+	 */
+	public Path writeText(String name, String text) {
+		try {
+			return Files.writeString(this.folder.resolve(name), text);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Starts a Java process with the class path of this repository. Standard output and
+	 * standard error go to {@code NAME.log} in the temporary folder.
+	 * @param name the name of the process, unique among the running ones
+	 * @param mainClass the main class
+	 * @param jvmOptions options of the Java machine, such as {@code -Xmx64m}
+	 * @param arguments the arguments of the program
+	 * @return the started process
+	 */
+	public LaunchedProcess start(String name, String mainClass, List<String> jvmOptions, List<String> arguments) {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(SMALL_PROCESS);
+		command.addAll(jvmOptions);
+		command.addAll(List.of("-cp", classPath(), mainClass));
+		command.addAll(arguments);
+		Path log = this.folder.resolve(name + ".log");
+		synchronized (this.processes) {
+			if (this.closing) {
+				throw new IllegalStateException("start " + name + ": the launcher is closed");
+			}
+			LaunchedProcess started = new LaunchedProcess(name, startProcess(command, log), log);
+			this.processes.add(started);
+			return started;
+		}
+	}
+
+	private Process startProcess(List<String> command, Path log) {
+		try {
+			return new ProcessBuilder(command).directory(this.folder.toFile())
+				.redirectErrorStream(true)
+				.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+				.redirectInput(ProcessBuilder.Redirect.from(new File("/dev/null")))
+				.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Returns the class path of the started processes.
+	 * @return the packaged class path, or that of this process when nothing is packaged
+	 */
+	public String classPath() {
+		Path target = this.root.resolve("benchmarks").resolve("target");
+		if (Files.isDirectory(target.resolve("lib"))) {
+			return target.resolve("*") + File.pathSeparator + target.resolve("lib").resolve("*");
+		}
+		return System.getProperty("java.class.path");
+	}
+
+	/**
+	 * Returns the processes started and not yet ended by {@link #stopAll}.
+	 * @return a copy of the list
+	 */
+	public List<LaunchedProcess> processes() {
+		synchronized (this.processes) {
+			return List.copyOf(this.processes);
+		}
+	}
+
+	/**
+	 * Ends all processes: SIGTERM to all, then SIGKILL to those that still run after the
+	 * grace time. Stopped processes are continued first, so that they receive SIGTERM.
+	 */
+	public void stopAll() {
+		List<LaunchedProcess> ending;
+		synchronized (this.processes) {
+			this.closing = true;
+			ending = List.copyOf(this.processes);
+		}
+		for (LaunchedProcess process : ending) {
+			if (process.alive()) {
+				process.signal("CONT");
+				process.signal("TERM");
+			}
+		}
+		long deadline = System.nanoTime() + STOP_GRACE_MILLIS * 1_000_000;
+		for (LaunchedProcess process : ending) {
+			if (!process.awaitExit(Math.max(0, (deadline - System.nanoTime()) / 1_000_000))) {
+				process.kill();
+			}
+		}
+	}
+
+	/**
+	 * Leaves the processes running when this process ends.
+	 */
+	public void detach() {
+		Runtime.getRuntime().removeShutdownHook(this.endAll);
+		this.keepFolder = true;
+	}
+
+	@Override
+	public void close() {
+		stopAll();
+		Runtime.getRuntime().removeShutdownHook(this.endAll);
+		if (!this.keepFolder) {
+			deleteFolder();
+		}
+	}
+
+	private void deleteFolder() {
+		try (Stream<Path> files = Files.walk(this.folder)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.deleteIfExists(file);
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -0,0 +1,58 @@
+package org.baobabknot.experiment;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Table of the experiments. To add one, add a constant with its summary and class.
+ */
+public enum Subcommands {
+
+	/** Starts idle processes; checks the launcher itself. */
+	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
+
+	private final String summary;
+
+	private final Supplier<Subcommand> factory;
+
+	Subcommands(String summary, Supplier<Subcommand> factory) {
+		this.summary = summary;
+		this.factory = factory;
+	}
+
+	/**
+	 * Returns the name as typed on the command line.
+	 * @return the name in lower case
+	 */
+	public String commandName() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Returns a one-line description.
+	 * @return the description
+	 */
+	public String summary() {
+		return this.summary;
+	}
+
+	/**
+	 * Creates the experiment.
+	 * @return a new instance for one run
+	 */
+	public Subcommand create() {
+		return this.factory.get();
+	}
+
+	/**
+	 * Finds an experiment by its command-line name.
+	 * @param name the name as typed
+	 * @return the experiment, or nothing when there is none of that name
+	 */
+	public static Optional<Subcommands> byName(String name) {
+		return Arrays.stream(values()).filter((candidate) -> candidate.commandName().equals(name)).findFirst();
+	}
+
+}
