Add the HTTP load generator

Experiments and the quick start need open-loop rates and closed-loop callers whose answers are checked. The latency of an open-loop request counts from its intended start: a closed loop alone would hide a stall, since a waiting caller sends nothing. A test with a server that stalls for 400 ms shows that all requests due within the stall are delayed.

--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/load/LoadReport.java
@@ -0,0 +1,141 @@
+package org.baobabknot.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * Collects the samples of one or more load generators. Thread-safe.
+ */
+public final class LoadReport {
+
+	private static final long LONGEST_MICROS = TimeUnit.MINUTES.toMicros(10);
+
+	private final List<Sample> samples = new ArrayList<>();
+
+	/**
+	 * Adds a sample.
+	 * @param sample the sample
+	 */
+	public void add(Sample sample) {
+		synchronized (this.samples) {
+			this.samples.add(sample);
+		}
+	}
+
+	/**
+	 * Returns the samples so far.
+	 * @return a copy
+	 */
+	public List<Sample> samples() {
+		synchronized (this.samples) {
+			return List.copyOf(this.samples);
+		}
+	}
+
+	/**
+	 * Returns the samples of one group.
+	 * @param kind the group
+	 * @return a new report with these samples only
+	 */
+	public LoadReport ofKind(String kind) {
+		return where((sample) -> sample.kind().equals(kind));
+	}
+
+	/**
+	 * Returns the samples whose intended start lies in an interval.
+	 * @param fromNanos the first moment, monotonic
+	 * @param toNanos the moment after the last
+	 * @return a new report with these samples only
+	 */
+	public LoadReport between(long fromNanos, long toNanos) {
+		return where((sample) -> sample.intendedNanos() - fromNanos >= 0 && sample.intendedNanos() - toNanos < 0);
+	}
+
+	private LoadReport where(Predicate<Sample> predicate) {
+		LoadReport part = new LoadReport();
+		samples().stream().filter(predicate).forEach(part::add);
+		return part;
+	}
+
+	/**
+	 * Returns the number of finished requests.
+	 * @return the number of samples
+	 */
+	public int sent() {
+		synchronized (this.samples) {
+			return this.samples.size();
+		}
+	}
+
+	/**
+	 * Counts the requests that ended in one way.
+	 * @param outcome the outcome
+	 * @return the number of samples with this outcome
+	 */
+	public int count(LoadOutcome outcome) {
+		return (int) samples().stream().filter((sample) -> sample.outcome() == outcome).count();
+	}
+
+	/**
+	 * Returns the latencies of whole answers.
+	 * @return a histogram in microseconds
+	 */
+	public Histogram latencies() {
+		Histogram histogram = new Histogram(LONGEST_MICROS, 3);
+		for (Sample sample : samples()) {
+			if (sample.outcome() == LoadOutcome.WHOLE) {
+				histogram.recordValue(micros(sample.latencyNanos()));
+			}
+		}
+		return histogram;
+	}
+
+	/**
+	 * Returns the times to the first body byte of whole answers.
+	 * @return a histogram in microseconds
+	 */
+	public Histogram firstBytes() {
+		Histogram histogram = new Histogram(LONGEST_MICROS, 3);
+		for (Sample sample : samples()) {
+			if (sample.outcome() == LoadOutcome.WHOLE && sample.firstByteNanos() >= 0) {
+				histogram.recordValue(micros(sample.firstByteNanos()));
+			}
+		}
+		return histogram;
+	}
+
+	/**
+	 * Returns a percentile of the latency of whole answers.
+	 * @param percentile from 0 to 100
+	 * @return the latency in milliseconds
+	 */
+	public double latencyMillis(double percentile) {
+		return latencies().getValueAtPercentile(percentile) / 1000.0;
+	}
+
+	/**
+	 * Groups the requests that did not end whole by what was reported.
+	 * @return the number of requests by outcome and detail
+	 */
+	public Map<String, Integer> faults() {
+		Map<String, Integer> faults = new TreeMap<>();
+		for (Sample sample : samples()) {
+			if (sample.outcome() != LoadOutcome.WHOLE) {
+				String detail = sample.detail().substring(0, Math.min(160, sample.detail().length()));
+				faults.merge(sample.outcome() + " " + sample.kind() + " " + detail, 1, Integer::sum);
+			}
+		}
+		return faults;
+	}
+
+	private static long micros(long nanos) {
+		return Math.min(LONGEST_MICROS, Math.max(0, TimeUnit.NANOSECONDS.toMicros(nanos)));
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/test/java/org/baobabknot/load/LoadGeneratorTests.java
@@ -0,0 +1,147 @@
+package org.baobabknot.load;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link LoadGenerator} against a small HTTP server.
+ */
+class LoadGeneratorTests {
+
+	private final AtomicInteger served = new AtomicInteger();
+
+	private final LoadReport report = new LoadReport();
+
+	private HttpServer server;
+
+	private HttpCaller caller;
+
+	private LoadGenerator generator;
+
+	@BeforeEach
+	void startServer() throws IOException {
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.server.setExecutor(Executors.newSingleThreadExecutor());
+		this.server.createContext("/right", (exchange) -> answer(exchange, 200, "right"));
+		this.server.createContext("/refused",
+				(exchange) -> answer(exchange, 503, "{\"type\":\"urn:baobabknot:not-run:queue-full\"}"));
+		this.server.createContext("/cut", LoadGeneratorTests::cut);
+		this.server.createContext("/stall", this::stall);
+		this.server.start();
+		this.caller = new HttpCaller(1, 5_000);
+		this.generator = new LoadGenerator(this.caller, EntryChooser.only(this.server.getAddress()), this.report);
+	}
+
+	@AfterEach
+	void stopServer() {
+		this.caller.close();
+		this.server.stop(0);
+	}
+
+	private static void answer(HttpExchange exchange, int status, String body) throws IOException {
+		exchange.getRequestBody().readAllBytes();
+		exchange.sendResponseHeaders(status, body.length());
+		exchange.getResponseBody().write(body.getBytes());
+		exchange.close();
+	}
+
+	private static void cut(HttpExchange exchange) throws IOException {
+		exchange.getRequestBody().readAllBytes();
+		exchange.sendResponseHeaders(200, 100);
+		exchange.getResponseBody().write("begin".getBytes());
+		exchange.getResponseBody().flush();
+		throw new IOException("cut");
+	}
+
+	private void stall(HttpExchange exchange) throws IOException {
+		if (this.served.getAndIncrement() == 0) {
+			try {
+				Thread.sleep(400);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+		answer(exchange, 200, "right");
+	}
+
+	private LoadRequest request(String path) {
+		return new LoadRequest("1", "test", "GET", path, Map.of(), new byte[0],
+				(answer) -> answer.text().equals("right") ? Optional.empty() : Optional.of(answer.text()));
+	}
+
+	@Nested
+	class Outcomes {
+
+		// Guards against an interrupted answer or a refusal being counted as a whole one.
+		@Test
+		void tellsWholeRefusedAndInterruptedAnswersApart() {
+			send("/right");
+			send("/refused");
+			send("/cut");
+			assertThat(LoadGeneratorTests.this.report.count(LoadOutcome.WHOLE), is(1));
+			assertThat(LoadGeneratorTests.this.report.count(LoadOutcome.REFUSED), is(1));
+			assertThat(LoadGeneratorTests.this.report.count(LoadOutcome.LOST), is(1));
+		}
+
+		// Guards against a wrong answer with status 200 passing the check.
+		@Test
+		void reportsAWrongAnswer() {
+			LoadRequest wrong = new LoadRequest("1", "test", "GET", "/right", Map.of(), new byte[0],
+					(answer) -> Optional.of("other text expected"));
+			LoadGeneratorTests.this.generator.send(wrong, System.nanoTime()).join();
+			assertThat(LoadGeneratorTests.this.report.count(LoadOutcome.WRONG), is(1));
+		}
+
+		private void send(String path) {
+			LoadGeneratorTests.this.generator.send(request(path), System.nanoTime()).join();
+		}
+
+	}
+
+	@Nested
+	class Loops {
+
+		// Guards against coordinated omission: a stall of 400 ms delays all requests due
+		// within it, not only the one that was under way.
+		@Test
+		void countsLatencyFromTheIntendedStart() {
+			LoadGeneratorTests.this.generator.openLoop(100, 800, new Random(5), () -> request("/stall"));
+			long delayed = LoadGeneratorTests.this.report.samples()
+				.stream()
+				.filter((sample) -> sample.latencyNanos() > TimeUnit.MILLISECONDS.toNanos(100))
+				.count();
+			assertThat(delayed, greaterThan(10L));
+		}
+
+		// Guards against a loop that returns before its last answers are counted.
+		@Test
+		void waitsForAllAnswersOfClosedLoopCallers() {
+			LoadGeneratorTests.this.generator.closedLoop(4, 200, () -> request("/right"));
+			assertThat(LoadGeneratorTests.this.report.sent(), greaterThanOrEqualTo(4));
+			assertThat(LoadGeneratorTests.this.report.count(LoadOutcome.WHOLE),
+					is(LoadGeneratorTests.this.report.sent()));
+		}
+
+	}
+
+}
