--- /dev/null
+++ b/core/src/main/java/org/baobabknot/rollout/RolloutEntry.java
@@ -0,0 +1,37 @@
+package org.baobabknot.rollout;
+
+/**
+ * What an agent announced last.
+ *
+ * @param instance the agent
+ * @param incarnation its process; a later process has a higher one
+ * @param sequence rises with every announcement of the process
+ * @param key the rollout
+ * @param phase the phase
+ * @param late how often the agent moved behind the others in this rollout
+ */
+public record RolloutEntry(String instance, long incarnation, long sequence, RolloutKey key, RolloutPhase phase,
+		int late) {
+
+	/**
+	 * Tells whether this entry replaces another one of the same instance.
+	 * @param other the other entry
+	 * @return true when this one is newer
+	 */
+	public boolean newerThan(RolloutEntry other) {
+		if (this.incarnation != other.incarnation) {
+			return Long.compareUnsigned(this.incarnation, other.incarnation) > 0;
+		}
+		return this.sequence > other.sequence;
+	}
+
+	/**
+	 * Tells whether the agent runs the version of a rollout.
+	 * @param rollout the rollout
+	 * @return true when it announced DONE for exactly this rollout
+	 */
+	public boolean done(RolloutKey rollout) {
+		return this.phase == RolloutPhase.DONE && this.key.equals(rollout);
+	}
+
+}
