Add the stand-ins for the platform and the targets

Faults are switched over HTTP or in-process. The record of what a target ran survives a kill, because the guarantees are checked by it.

--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/Call.java
@@ -0,0 +1,227 @@
+package org.baobabknot.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+/**
+ * One request to a stand-in. Used on the event loop of the server only.
+ */
+public final class Call {
+
+	private final Channel channel;
+
+	private final HttpRequest request;
+
+	private final QueryStringDecoder query;
+
+	private Runnable closed = () -> {
+	};
+
+	private boolean started;
+
+	private boolean ended;
+
+	Call(Channel channel, HttpRequest request) {
+		this.channel = channel;
+		this.request = request;
+		this.query = new QueryStringDecoder(request.uri());
+	}
+
+	/**
+	 * Returns the method.
+	 * @return the method in upper case
+	 */
+	public String method() {
+		return this.request.method().name();
+	}
+
+	/**
+	 * Returns the decoded path without the query.
+	 * @return the path
+	 */
+	public String path() {
+		return this.query.path();
+	}
+
+	/**
+	 * Returns the segments of the path.
+	 * @return decoded segments without slashes
+	 */
+	public List<String> segments() {
+		return List.of(path().substring(1).split("/"));
+	}
+
+	/**
+	 * Returns a query parameter.
+	 * @param name the name
+	 * @return the first value, or nothing
+	 */
+	public Optional<String> parameter(String name) {
+		return this.query.parameters().getOrDefault(name, List.of()).stream().findFirst();
+	}
+
+	/**
+	 * Returns a query parameter that is a number.
+	 * @param name the name
+	 * @param otherwise the value when it is absent
+	 * @return the number
+	 * @throws IllegalArgumentException when it is not a number
+	 */
+	public long number(String name, long otherwise) {
+		return parameter(name).map(Long::parseLong).orElse(otherwise);
+	}
+
+	/**
+	 * Returns a header.
+	 * @param name the name
+	 * @return the value, or nothing
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.request.headers().get(name));
+	}
+
+	/**
+	 * Sets what to do when the connection closes before the answer has ended.
+	 * @param action the action
+	 */
+	public void onClose(Runnable action) {
+		this.closed = action;
+	}
+
+	void connectionClosed() {
+		if (!this.ended) {
+			this.ended = true;
+			this.closed.run();
+		}
+	}
+
+	/**
+	 * Answers with JSON.
+	 * @param status the status
+	 * @param body the body
+	 */
+	public void answer(int status, JsonNode body) {
+		answer(status, "application/json", body.toString().getBytes(StandardCharsets.UTF_8), Map.of());
+	}
+
+	/**
+	 * Answers with an error as JSON.
+	 * @param status the status
+	 * @param detail the reason
+	 */
+	public void refuse(int status, String detail) {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		answer(status, node.put("error", detail));
+	}
+
+	/**
+	 * Answers with a whole body.
+	 * @param status the status
+	 * @param type the content type
+	 * @param body the body
+	 * @param headers more headers
+	 */
+	public void answer(int status, String type, byte[] body, Map<String, String> headers) {
+		if (this.ended || this.started) {
+			return;
+		}
+		this.started = true;
+		this.ended = true;
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+		headers.forEach(response.headers()::set);
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+		HttpUtil.setContentLength(response, body.length);
+		this.channel.writeAndFlush(response);
+	}
+
+	/**
+	 * Starts an answer whose body follows in parts.
+	 * @param status the status
+	 * @param type the content type
+	 * @param length the length of the body, negative for chunked transfer
+	 * @param headers more headers
+	 */
+	public void start(int status, String type, long length, Map<String, String> headers) {
+		if (this.ended || this.started) {
+			return;
+		}
+		this.started = true;
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+		headers.forEach(response.headers()::set);
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+		if (length < 0) {
+			HttpUtil.setTransferEncodingChunked(response, true);
+		}
+		else {
+			HttpUtil.setContentLength(response, length);
+		}
+		this.channel.writeAndFlush(response);
+	}
+
+	/**
+	 * Sends a part of the body.
+	 * @param bytes the bytes, which must not change afterwards
+	 * @param offset the first byte
+	 * @param length the number of bytes
+	 */
+	public void part(byte[] bytes, int offset, int length) {
+		if (!this.ended) {
+			this.channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes, offset, length)));
+		}
+	}
+
+	/**
+	 * Ends the body.
+	 */
+	public void end() {
+		if (!this.ended) {
+			this.ended = true;
+			this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+		}
+	}
+
+	/**
+	 * Closes the connection, whatever was answered so far.
+	 */
+	public void drop() {
+		this.ended = true;
+		this.channel.close();
+	}
+
+	/**
+	 * Tells whether the answer has ended or the connection has closed.
+	 * @return whether nothing more can be sent
+	 */
+	public boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Tells whether the connection takes more bytes without queueing many.
+	 * @return whether to send
+	 */
+	public boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/Faults.java
@@ -0,0 +1,74 @@
+package org.baobabknot.standin;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Faults that are switched on. Used on the event loop of the server only.
+ */
+public final class Faults {
+
+	private final Map<String, ObjectNode> active = new TreeMap<>();
+
+	private final SplittableRandom random = new SplittableRandom(1);
+
+	/**
+	 * Returns a fault that is on.
+	 * @param kind the kind
+	 * @return the fault with its parameters, or nothing
+	 */
+	public Optional<ObjectNode> find(String kind) {
+		return Optional.ofNullable(this.active.get(kind));
+	}
+
+	/**
+	 * Tells whether a fault is on.
+	 * @param kind the kind
+	 * @return whether it is on
+	 */
+	public boolean isOn(String kind) {
+		return this.active.containsKey(kind);
+	}
+
+	/**
+	 * Tells whether a fault strikes now. A fault with {@code fraction} strikes at random
+	 * with this probability, and one with {@code times} is switched off after that many
+	 * strikes.
+	 * @param kind the kind
+	 * @return whether it strikes
+	 */
+	public boolean tryStrike(String kind) {
+		ObjectNode fault = this.active.get(kind);
+		if (fault == null || this.random.nextDouble() >= fault.path("fraction").asDouble(1)) {
+			return false;
+		}
+		if (fault.has("times")) {
+			int left = fault.path("times").asInt() - 1;
+			fault.put("times", left);
+			if (left <= 0) {
+				this.active.remove(kind);
+			}
+		}
+		return true;
+	}
+
+	void set(ObjectNode fault) {
+		this.active.put(fault.path("kind").asText(), fault.deepCopy());
+	}
+
+	void clear(Optional<String> kind) {
+		kind.ifPresentOrElse(this.active::remove, this.active::clear);
+	}
+
+	ObjectNode list() {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		this.active.forEach(node::set);
+		return node;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/LinkRate.java
@@ -0,0 +1,43 @@
+package org.baobabknot.standin;
+
+/**
+ * Rate of a link that several senders share. Each sender reserves the time for its next
+ * part and sends it when that time has come, so that senders take turns.
+ */
+public final class LinkRate {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final long bytesPerSecond;
+
+	private long freeAtNanos;
+
+	private boolean used;
+
+	/**
+	 * Creates a link.
+	 * @param bytesPerSecond the rate, 0 for no limit
+	 */
+	public LinkRate(long bytesPerSecond) {
+		this.bytesPerSecond = bytesPerSecond;
+	}
+
+	/**
+	 * Reserves the time to send bytes.
+	 * @param bytes the number of bytes
+	 * @param nowNanos the monotonic time
+	 * @return nanoseconds from now until the bytes have passed the link
+	 */
+	public long reserve(int bytes, long nowNanos) {
+		if (this.bytesPerSecond <= 0) {
+			return 0;
+		}
+		if (!this.used || this.freeAtNanos - nowNanos < 0) {
+			this.used = true;
+			this.freeAtNanos = nowNanos;
+		}
+		this.freeAtNanos += (long) (bytes * NANOS_PER_SECOND / this.bytesPerSecond);
+		return this.freeAtNanos - nowNanos;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/RunLog.java
@@ -0,0 +1,108 @@
+package org.baobabknot.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Requests that a target ran. It survives a kill, because tests check the guarantees by
+ * it.
+ */
+public final class RunLog {
+
+	/**
+	 * Entries kept; older ones are kept and later ones only counted.
+	 */
+	private static final int MAX_ENTRIES = 500_000;
+
+	private final String failureDomain;
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	private long runs;
+
+	private int maxRunningWhileCold;
+
+	/**
+	 * Creates an empty log.
+	 * @param failureDomain the failure domain of the target
+	 */
+	public RunLog(String failureDomain) {
+		this.failureDomain = failureDomain;
+	}
+
+	/**
+	 * Adds a request when it starts.
+	 * @param entry the request
+	 */
+	public void add(Entry entry) {
+		this.runs++;
+		if (this.entries.size() < MAX_ENTRIES) {
+			this.entries.add(entry);
+		}
+		if (entry.cold()) {
+			this.maxRunningWhileCold = Math.max(this.maxRunningWhileCold, entry.running());
+		}
+	}
+
+	/**
+	 * Returns the entries.
+	 * @return a copy
+	 */
+	public List<Entry> entries() {
+		return List.copyOf(this.entries);
+	}
+
+	/**
+	 * Returns the largest number of requests at the start of one while the target was
+	 * cold.
+	 * @return the number, 0 when none started while it was cold
+	 */
+	public int maxRunningWhileCold() {
+		return this.maxRunningWhileCold;
+	}
+
+	/**
+	 * Adds the log to a record.
+	 * @param node the record
+	 */
+	public void write(ObjectNode node) {
+		node.put("runs", this.runs);
+		node.put("max_running_while_cold", this.maxRunningWhileCold);
+		ArrayNode list = node.putArray("requests");
+		for (Entry entry : this.entries) {
+			list.addObject()
+				.put("request_id", entry.requestId())
+				.put("key", entry.key())
+				.put("body_digest", entry.bodyDigest())
+				.put("at_ms", entry.atMillis())
+				.put("version", entry.version())
+				.put("incarnation", entry.incarnation())
+				.put("failure_domain", this.failureDomain)
+				.put("running", entry.running())
+				.put("cold", entry.cold())
+				.put("cold_ms", entry.coldMillis());
+		}
+	}
+
+	/**
+	 * One request.
+	 *
+	 * @param requestId the request id, empty when none was sent
+	 * @param key the idempotency key, empty when none was sent
+	 * @param bodyDigest SHA-256 of the body
+	 * @param atMillis wall time of the start
+	 * @param version the version that ran it, empty for a plain service
+	 * @param incarnation incarnation of the target
+	 * @param running requests running, this one included
+	 * @param cold whether the target was cold
+	 * @param coldMillis time for which it had been cold
+	 */
+	public record Entry(String requestId, String key, String bodyDigest, long atMillis, String version,
+			long incarnation, int running, boolean cold, long coldMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/engine/EngineHealth.java
@@ -0,0 +1,52 @@
+package org.baobabknot.standin.engine;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Incarnation and cold period of an engine.
+ */
+final class EngineHealth {
+
+	private final long coldMillis;
+
+	private long incarnation = ThreadLocalRandom.current().nextLong(1, 1L << 40);
+
+	private long coldSinceNanos = System.nanoTime();
+
+	private boolean warm;
+
+	EngineHealth(long coldMillis) {
+		this.coldMillis = coldMillis;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	void restart() {
+		this.incarnation++;
+		turnCold();
+	}
+
+	void turnCold() {
+		this.warm = false;
+		this.coldSinceNanos = System.nanoTime();
+	}
+
+	void turnWarm() {
+		this.warm = true;
+	}
+
+	boolean isCold() {
+		if (!this.warm && coldForMillis() >= this.coldMillis) {
+			this.warm = true;
+		}
+		return !this.warm;
+	}
+
+	long coldForMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.coldSinceNanos);
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/links/Forwarder.java
@@ -0,0 +1,55 @@
+package org.baobabknot.standin.links;
+
+import java.net.InetSocketAddress;
+
+/**
+ * One listening port and its target, with the bytes that passed.
+ */
+final class Forwarder {
+
+	private final String from;
+
+	private final String to;
+
+	private final InetSocketAddress target;
+
+	private long forwardBytes;
+
+	private long backBytes;
+
+	Forwarder(String from, String to, InetSocketAddress target) {
+		this.from = from;
+		this.to = to;
+		this.target = target;
+	}
+
+	String from() {
+		return this.from;
+	}
+
+	String to() {
+		return this.to;
+	}
+
+	InetSocketAddress target() {
+		return this.target;
+	}
+
+	long forwardBytes() {
+		return this.forwardBytes;
+	}
+
+	long backBytes() {
+		return this.backBytes;
+	}
+
+	void passed(boolean forward, int bytes) {
+		if (forward) {
+			this.forwardBytes += bytes;
+		}
+		else {
+			this.backBytes += bytes;
+		}
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/origin/Model.java
@@ -0,0 +1,60 @@
+package org.baobabknot.standin.origin;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.baobabknot.standin.JsonBody;
+import org.baobabknot.weights.Manifest;
+
+/**
+ * One published version, with content generated from a seed.
+ *
+ * @param manifest the manifest
+ * @param content the bytes
+ */
+public record Model(Manifest manifest, byte[] content) {
+
+	/**
+	 * Generates a version.
+	 * @param service the service
+	 * @param version the version
+	 * @param seed the seed of the content
+	 * @param size bytes of the whole
+	 * @param chunkSize bytes of a chunk
+	 * @return the version
+	 */
+	public static Model generate(String service, String version, long seed, int size, int chunkSize) {
+		byte[] content = new byte[size];
+		new SplittableRandom(seed).nextBytes(content);
+		return new Model(Manifest.describe(service, version, content, chunkSize), content);
+	}
+
+	/**
+	 * Returns a chunk.
+	 * @param index the number of the chunk
+	 * @return a copy of its bytes
+	 */
+	public byte[] chunk(int index) {
+		int start = (int) this.manifest.chunkOffset(index);
+		return Arrays.copyOfRange(this.content, start, start + this.manifest.chunkLength(index));
+	}
+
+	/**
+	 * Returns the manifest as published.
+	 * @return the JSON form
+	 */
+	public ObjectNode manifestJson() {
+		ObjectNode node = JsonBody.object();
+		node.put("service", this.manifest.service());
+		node.put("version", this.manifest.version());
+		node.put("size", this.manifest.size());
+		node.put("chunk_size", this.manifest.chunkSize());
+		ArrayNode digests = node.putArray("chunk_digests");
+		this.manifest.chunkDigests().forEach(digests::add);
+		node.put("whole_digest", this.manifest.wholeDigest());
+		return node;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/origin/OriginStandin.java
@@ -0,0 +1,163 @@
+package org.baobabknot.standin.origin;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.baobabknot.standin.BodySink;
+import org.baobabknot.standin.Call;
+import org.baobabknot.standin.JsonBody;
+import org.baobabknot.standin.LinkRate;
+import org.baobabknot.standin.Standin;
+import org.baobabknot.standin.StandinServer;
+import org.baobabknot.weights.Manifest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The origin. All answers share one link rate. Faults: {@code corrupt} and
+ * {@code truncate} strike chunks ({@code fraction}, {@code times}), {@code stall} stops
+ * sending in the middle of chunks, {@code replace} publishes other bytes under the same
+ * version ({@code service}, {@code version}, {@code seed}). {@code PUT
+ * /v1/models/SERVICE/VERSION} with {@code seed}, {@code size} and {@code chunk_size}
+ * publishes a version.
+ */
+public final class OriginStandin implements Standin {
+
+	private final Map<String, Model> models = new HashMap<>();
+
+	private final Map<String, Long> fetches = new TreeMap<>();
+
+	private final LinkRate rate;
+
+	private long chunkBytes;
+
+	private long manifests;
+
+	private long chunks;
+
+	private @Nullable StandinServer server;
+
+	/**
+	 * Creates an origin without models.
+	 * @param bytesPerSecond rate of its link, 0 for no limit
+	 */
+	public OriginStandin(long bytesPerSecond) {
+		this.rate = new LinkRate(bytesPerSecond);
+	}
+
+	@Override
+	public Set<String> faultKinds() {
+		return Set.of("corrupt", "truncate", "stall", "replace");
+	}
+
+	@Override
+	public void attach(StandinServer server) {
+		this.server = server;
+	}
+
+	private StandinServer server() {
+		if (this.server == null) {
+			throw new IllegalStateException("origin is not attached");
+		}
+		return this.server;
+	}
+
+	/**
+	 * Publishes a version from the same process.
+	 * @param service the service
+	 * @param version the version
+	 * @param seed the seed of the content
+	 * @param size bytes of the whole
+	 * @param chunkSize bytes of a chunk
+	 * @return the manifest
+	 */
+	public Manifest publish(String service, String version, long seed, int size, int chunkSize) {
+		Model model = Model.generate(service, version, seed, size, chunkSize);
+		server().ask(() -> this.models.put(service + "/" + version, model));
+		return model.manifest();
+	}
+
+	@Override
+	public void faultSet(ObjectNode fault) {
+		if (fault.path("kind").asText().equals("replace")) {
+			String name = fault.path("service").asText() + "/" + fault.path("version").asText();
+			this.models.computeIfPresent(name,
+					(key, old) -> Model.generate(old.manifest().service(), old.manifest().version(),
+							fault.path("seed").asLong(), old.content().length, old.manifest().chunkSize()));
+		}
+	}
+
+	@Override
+	public BodySink open(Call call) {
+		return BodySink.whole((body) -> {
+			List<String> path = call.segments();
+			if (path.size() < 4 || !path.get(1).equals("models")) {
+				call.refuse(404, "no such path");
+				return;
+			}
+			String name = path.get(2) + "/" + path.get(3);
+			if (call.method().equals("PUT") && path.size() == 4) {
+				publish(call, path.get(2), path.get(3), JsonBody.parse(body));
+				return;
+			}
+			Model model = this.models.get(name);
+			if (model == null) {
+				call.refuse(404, "no such version");
+			}
+			else if (path.size() == 5 && path.get(4).equals("manifest")) {
+				this.manifests++;
+				call.answer(200, model.manifestJson());
+			}
+			else if (path.size() == 6 && path.get(4).equals("chunks")) {
+				chunk(call, model, Integer.parseInt(path.get(5)));
+			}
+			else {
+				call.refuse(404, "no such path");
+			}
+		});
+	}
+
+	private void publish(Call call, String service, String version, ObjectNode body) {
+		Model model = Model.generate(service, version, body.path("seed").asLong(), body.path("size").asInt(),
+				body.path("chunk_size").asInt());
+		this.models.put(service + "/" + version, model);
+		call.answer(200, model.manifestJson().put("digest", model.manifest().digest()));
+	}
+
+	private void chunk(Call call, Model model, int index) {
+		if (index < 0 || index >= model.manifest().chunks()) {
+			call.refuse(404, "no such chunk");
+			return;
+		}
+		this.chunks++;
+		this.fetches.merge(model.manifest().service() + "/" + model.manifest().version() + "/" + index, 1L, Long::sum);
+		byte[] bytes = model.chunk(index);
+		if (server().faults().tryStrike("corrupt")) {
+			bytes[bytes.length / 2] ^= 1;
+		}
+		int stop = bytes.length;
+		if (server().faults().tryStrike("truncate")) {
+			stop = bytes.length / 2;
+		}
+		new ChunkSender(server(), this.rate, call, bytes, stop, this::sent).start();
+	}
+
+	private void sent(int bytes) {
+		this.chunkBytes += bytes;
+	}
+
+	@Override
+	public ObjectNode record() {
+		ObjectNode node = JsonBody.object();
+		node.put("chunk_bytes", this.chunkBytes);
+		node.put("chunks", this.chunks);
+		node.put("manifests", this.manifests);
+		ObjectNode fetched = node.putObject("fetches");
+		this.fetches.forEach(fetched::put);
+		return node;
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/store/StoreSettings.java
@@ -0,0 +1,19 @@
+package org.baobabknot.standin.store;
+
+/**
+ * Settings of the store.
+ *
+ * @param readsPerSecond reads and watches accepted per second
+ * @param writesPerSecond writes and lease calls accepted per second
+ */
+public record StoreSettings(int readsPerSecond, int writesPerSecond) {
+
+	/**
+	 * Returns the rates of the platform's store.
+	 * @return 2,000 reads and 500 writes a second
+	 */
+	public static StoreSettings defaults() {
+		return new StoreSettings(2_000, 500);
+	}
+
+}
