--- /dev/null
+++ b/standins/src/test/java/org/baobabknot/standin/CollectingListener.java
@@ -0,0 +1,49 @@
+package org.baobabknot.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.buffer.ByteBuf;
+import org.baobabknot.httpclient.AnswerHead;
+import org.baobabknot.httpclient.Failure;
+import org.baobabknot.target.TargetListener;
+
+/**
+ * Collects an answer into one text: the status and body, or the kind of failure.
+ */
+final class CollectingListener implements TargetListener {
+
+	private final CompletableFuture<String> result = new CompletableFuture<>();
+
+	private final StringBuilder text = new StringBuilder();
+
+	CompletableFuture<String> result() {
+		return this.result;
+	}
+
+	@Override
+	public void started(AnswerHead head) {
+		this.text.append(head.status()).append(' ');
+	}
+
+	@Override
+	public void part(ByteBuf part) {
+		this.text.append(part.toString(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public void ended() {
+		this.result.complete(this.text.toString());
+	}
+
+	@Override
+	public void notRun(Failure failure) {
+		this.result.complete("not run: " + failure);
+	}
+
+	@Override
+	public void failed(Failure failure) {
+		this.result.complete("failed: " + failure);
+	}
+
+}
--- /dev/null
+++ b/standins/src/test/java/org/baobabknot/standin/StoreStandinTests.java
@@ -0,0 +1,193 @@
+package org.baobabknot.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.standin.store.StoreSettings;
+import org.baobabknot.standin.store.StoreStandin;
+import org.baobabknot.store.ConfigurationStore;
+import org.baobabknot.store.HttpConfigurationStore;
+import org.baobabknot.store.LeaseResult;
+import org.baobabknot.store.ReadResult;
+import org.baobabknot.store.WatchResult;
+import org.baobabknot.store.WriteResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThan;
+
+/**
+ * Tests of the store's adapter and stand-in against each other.
+ */
+class StoreStandinTests {
+
+	private static final String KEY = "baobabknot/rules and more";
+
+	private final StandinFixture fixture = new StandinFixture();
+
+	private StandinServer server;
+
+	private ConfigurationStore store;
+
+	@BeforeEach
+	void start() {
+		start(StoreSettings.defaults());
+	}
+
+	private void start(StoreSettings settings) {
+		this.server = this.fixture.start(new StoreStandin(settings));
+		this.store = new HttpConfigurationStore(this.fixture.client(this.server.port()), Duration.ofSeconds(5));
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private static <T> T get(CompletableFuture<T> future) throws Exception {
+		return future.get(30, TimeUnit.SECONDS);
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Nested
+	class Writes {
+
+		// Guards against two operators both believing that their change was accepted.
+		@Test
+		void onlyOneOfTwoWithTheSameExpectedVersionSucceeds() throws Exception {
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a"))),
+					equalTo(new WriteResult.Written(1)));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("b"))),
+					equalTo(new WriteResult.Conflict(1)));
+			ReadResult.Found found = (ReadResult.Found) get(StoreStandinTests.this.store.read(KEY));
+			assertThat(new String(found.value().value(), StandardCharsets.UTF_8), equalTo("a"));
+			assertThat(found.value().key(), equalTo(KEY));
+		}
+
+		// Guards against a lost answer being taken for a failed write.
+		@Test
+		void lostAnswerIsUnknownAndTookEffect() throws Exception {
+			StoreStandinTests.this.server.fault(StandinFixture.fault("lost_answer").put("times", 1));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a"))),
+					instanceOf(WriteResult.Unknown.class));
+			assertThat(get(StoreStandinTests.this.store.read(KEY)), instanceOf(ReadResult.Found.class));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 1, bytes("b"))),
+					equalTo(new WriteResult.Written(2)));
+		}
+
+		// Guards against a version that is used again after a delete.
+		@Test
+		void versionsRiseOverDeletes() throws Exception {
+			get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a")));
+			assertThat(get(StoreStandinTests.this.store.delete(KEY, 1)), equalTo(new WriteResult.Written(0)));
+			assertThat(get(StoreStandinTests.this.store.read(KEY)), instanceOf(ReadResult.Absent.class));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("b"))),
+					equalTo(new WriteResult.Written(2)));
+		}
+
+		// Guards against a refusal in an outage or above the rate being taken as unknown.
+		@Test
+		void refusalsAreNotUnknown() throws Exception {
+			StoreStandinTests.this.server.fault(StandinFixture.fault("outage"));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a"))),
+					instanceOf(WriteResult.Failed.class));
+			start(new StoreSettings(1, 1));
+			get(StoreStandinTests.this.store.compareAndSet("one", 0, bytes("a")));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet("two", 0, bytes("a"))),
+					instanceOf(WriteResult.Failed.class));
+		}
+
+	}
+
+	@Nested
+	class Watches {
+
+		// Guards against changes that reach the fleet only by the backup read.
+		@Test
+		void returnWhenTheKeyChanges() throws Exception {
+			CompletableFuture<WatchResult> watch = StoreStandinTests.this.store.watch(KEY, 0, Duration.ofSeconds(20));
+			get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a")));
+			WatchResult.Changed changed = (WatchResult.Changed) get(watch);
+			assertThat(changed.value().version(), equalTo(1L));
+		}
+
+		// Guards against a watch that ends without change being reported as a failure.
+		@Test
+		void endAfterTheirWait() throws Exception {
+			assertThat(get(StoreStandinTests.this.store.watch(KEY, 0, Duration.ofMillis(50))),
+					instanceOf(WatchResult.Unchanged.class));
+		}
+
+		// Guards against a watch that hangs on a connection that went silent.
+		@Test
+		void surviveASilentConnection() throws Exception {
+			StoreStandinTests.this.server.fault(StandinFixture.fault("silent_watch"));
+			long start = System.nanoTime();
+			assertThat(get(StoreStandinTests.this.store.watch(KEY, 0, Duration.ofMillis(300))),
+					instanceOf(WatchResult.Failed.class));
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start), greaterThan(2_200L));
+			StoreStandinTests.this.server.clearFaults(Optional.empty());
+			assertThat(get(StoreStandinTests.this.store.watch(KEY, 0, Duration.ofMillis(50))),
+					instanceOf(WatchResult.Unchanged.class));
+		}
+
+	}
+
+	@Nested
+	class Leases {
+
+		// Guards against a paused holder that still believes in its lease.
+		@Test
+		void expireWithTheirKeys() throws Exception {
+			LeaseResult.Granted lease = (LeaseResult.Granted) get(
+					StoreStandinTests.this.store.lease(Duration.ofMillis(150)));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a"), lease.id())),
+					equalTo(new WriteResult.Written(1)));
+			Thread.sleep(400);
+			assertThat(get(StoreStandinTests.this.store.read(KEY)), instanceOf(ReadResult.Absent.class));
+			assertThat(get(StoreStandinTests.this.store.renew(lease.id())), instanceOf(LeaseResult.Expired.class));
+			assertThat(get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a"), lease.id())),
+					instanceOf(WriteResult.Failed.class));
+		}
+
+	}
+
+	@Nested
+	class CommonFaults {
+
+		// Guards against a frozen store that loses the calls it holds.
+		@Test
+		void freezeHoldsCallsUntilItEnds() throws Exception {
+			StoreStandinTests.this.server.fault(StandinFixture.fault("freeze"));
+			CompletableFuture<ReadResult> read = StoreStandinTests.this.store.read(KEY);
+			Thread.sleep(200);
+			assertThat(read.isDone(), equalTo(false));
+			StoreStandinTests.this.server.clearFaults(Optional.of("freeze"));
+			assertThat(get(read), instanceOf(ReadResult.Absent.class));
+		}
+
+		// Guards against calls that are not counted, because operators pay for each.
+		@Test
+		void callsAreCounted() throws Exception {
+			get(StoreStandinTests.this.store.read(KEY));
+			get(StoreStandinTests.this.store.compareAndSet(KEY, 0, bytes("a")));
+			assertThat(StoreStandinTests.this.server.record().path("reads").asInt(), equalTo(1));
+			assertThat(StoreStandinTests.this.server.record().path("writes").asInt(), equalTo(1));
+			assertThat(StoreStandinTests.this.server.record().path("limited").asInt(), lessThan(1));
+		}
+
+	}
+
+}
