--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/settings/Section.java
@@ -0,0 +1,178 @@
+package org.baobabknot.settings;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.baobabknot.rules.KnownNames;
+
+/**
+ * One object of the settings file. Reads typed fields, adds every error to a common list
+ * and remembers the names that were asked for, so that {@link #finish} can report the
+ * others. After an error a placeholder is returned, so that all errors are found at once.
+ */
+final class Section {
+
+	private static final int MAX_FOUND = 60;
+
+	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+
+	private final JsonNode node;
+
+	private final String path;
+
+	private final Path directory;
+
+	private final List<SettingsError> errors;
+
+	private final Set<String> known = new LinkedHashSet<>();
+
+	Section(JsonNode node, String path, Path directory, List<SettingsError> errors) {
+		this.node = node;
+		this.path = path;
+		this.directory = directory;
+		this.errors = errors;
+	}
+
+	boolean has(String name) {
+		this.known.add(name);
+		return this.node.hasNonNull(name);
+	}
+
+	Section section(String name, boolean required) {
+		JsonNode value = value(name);
+		if (!value.isObject() && (required || !value.isMissingNode())) {
+			error(name, value, "an object");
+		}
+		return new Section((value.isObject()) ? value : MissingNode.getInstance(), at(name), this.directory,
+				this.errors);
+	}
+
+	String name(String name) {
+		JsonNode value = value(name);
+		if (!value.isTextual() || !NAME.matcher(value.textValue()).matches()) {
+			error(name, value, "a name of 1 to 64 letters, digits, dots, dashes or underscores");
+			return "";
+		}
+		return value.textValue();
+	}
+
+	String host(String name, String standard) {
+		JsonNode value = value(name);
+		if (value.isMissingNode() && !standard.isEmpty()) {
+			return standard;
+		}
+		if (!value.isTextual() || value.textValue().isBlank() || value.textValue().contains("/")) {
+			error(name, value, "an IP address");
+			return "";
+		}
+		return value.textValue();
+	}
+
+	long number(String name, long standard, long least, long most) {
+		JsonNode value = value(name);
+		if (value.isMissingNode() && standard >= 0) {
+			return standard;
+		}
+		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < least
+				|| value.longValue() > most) {
+			error(name, value, "a whole number from " + least + " to " + most);
+			return least;
+		}
+		return value.longValue();
+	}
+
+	int integer(String name, int standard, int least, int most) {
+		return (int) number(name, standard, least, most);
+	}
+
+	boolean flag(String name, boolean standard) {
+		JsonNode value = value(name);
+		if (value.isMissingNode()) {
+			return standard;
+		}
+		if (!value.isBoolean()) {
+			error(name, value, "true or false");
+		}
+		return value.asBoolean(standard);
+	}
+
+	<E extends Enum<E>> E choice(String name, Class<E> type) {
+		JsonNode value = value(name);
+		StringBuilder words = new StringBuilder();
+		for (E constant : type.getEnumConstants()) {
+			String word = constant.name().toLowerCase(Locale.ROOT);
+			if (value.isTextual() && value.textValue().equals(word)) {
+				return constant;
+			}
+			words.append((words.length() == 0) ? "" : " or ").append('"').append(word).append('"');
+		}
+		error(name, value, words.toString());
+		return type.getEnumConstants()[0];
+	}
+
+	URI url(String name) {
+		JsonNode value = value(name);
+		if (value.isTextual()) {
+			try {
+				URI url = new URI(value.textValue());
+				if ("http".equals(url.getScheme()) && url.getHost() != null) {
+					return url;
+				}
+			}
+			catch (URISyntaxException ex) {
+				// Reported below, like a URL of another scheme.
+			}
+		}
+		error(name, value, "a URL such as \"http://192.0.2.1:8500\"");
+		return URI.create("http://invalid");
+	}
+
+	Path file(String name) {
+		JsonNode value = value(name);
+		if (value.isTextual() && !value.textValue().isBlank()) {
+			Path file = this.directory.resolve(value.textValue());
+			if (Files.isReadable(file)) {
+				return file;
+			}
+		}
+		error(name, value, "the path of a readable file, relative to the settings file");
+		return this.directory;
+	}
+
+	void finish() {
+		this.node.fieldNames().forEachRemaining((name) -> {
+			if (!this.known.contains(name)) {
+				Optional<String> nearest = KnownNames.nearest(name, this.known);
+				String hint = nearest.map((word) -> "; did you mean \"" + word + "\"?").orElse("");
+				this.errors.add(new SettingsError(at(name), "an unknown key",
+						"one of " + String.join(", ", this.known) + hint));
+			}
+		});
+	}
+
+	private JsonNode value(String name) {
+		this.known.add(name);
+		return this.node.path(name);
+	}
+
+	private String at(String name) {
+		return (this.path.isEmpty()) ? name : this.path + "." + name;
+	}
+
+	private void error(String name, JsonNode value, String expected) {
+		String found = (value.isMissingNode()) ? "nothing" : value.toString();
+		this.errors.add(new SettingsError(at(name),
+				(found.length() <= MAX_FOUND) ? found : found.substring(0, MAX_FOUND) + "...", expected));
+	}
+
+}
