Add settings, tokens, TLS contexts and the interface between daemon and roles

The entry and agent roles plug in through Role and are constructed with a Node, which holds what every process has: rules, members, connections, handlers of frames, load and status.

--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/daemon/Node.java
@@ -0,0 +1,80 @@
+package org.baobabknot.daemon;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.Ticker;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.baobabknot.configuration.ConfigurationView;
+import org.baobabknot.gossip.PauseGate;
+import org.baobabknot.gossip.Peers;
+import org.baobabknot.gossip.StreamRouter;
+import org.baobabknot.members.MemberList;
+import org.baobabknot.membership.MembershipView;
+import org.baobabknot.observe.Events;
+import org.baobabknot.protocol.ConnectionSettings;
+import org.baobabknot.protocol.LocalState;
+import org.baobabknot.protocol.ProtocolCounters;
+import org.baobabknot.settings.Settings;
+import org.baobabknot.store.ConfigurationStore;
+import org.baobabknot.time.HybridClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The parts of a process that its role uses.
+ *
+ * @param settings settings of the process
+ * @param incarnation number of this process among those with the same instance name
+ * @param clock hybrid logical clock
+ * @param ticker monotonic clock of all timeouts
+ * @param group event loops
+ * @param configuration rules in force
+ * @param membership member list
+ * @param store configuration store
+ * @param members platform's member list
+ * @param streams handlers of what peers send
+ * @param peers open connections
+ * @param pauses holds new work back after a pause
+ * @param report load and status of the role
+ * @param events log and timeline
+ * @param metrics registry behind {@code /metrics}
+ * @param local what this process tells its peers
+ * @param connections settings of connections
+ * @param counters counts of events on connections
+ * @param clientTls context of outgoing connections, {@code null} for plain TCP
+ * @param serverTls context of accepted connections, {@code null} for plain TCP
+ * @param rules pulls of revisions that a peer knows already
+ */
+public record Node(Settings settings, long incarnation, HybridClock clock, Ticker ticker, EventLoopGroup group,
+		ConfigurationView configuration, MembershipView membership, ConfigurationStore store, MemberList members,
+		StreamRouter streams, Peers peers, PauseGate pauses, StatusReport report, Events events,
+		PrometheusRegistry metrics, LocalState local, ConnectionSettings connections, ProtocolCounters counters,
+		@Nullable SslContext clientTls, @Nullable SslContext serverTls, RevisionSource rules) {
+
+	/**
+	 * Current monotonic time.
+	 * @return nanoseconds
+	 */
+	public long now() {
+		return this.ticker.nanoTime();
+	}
+
+	/**
+	 * Pulls revisions from peers.
+	 */
+	@FunctionalInterface
+	public interface RevisionSource {
+
+		/**
+		 * Makes sure that at least a revision is in force here, by pulling it from the
+		 * peer that named it.
+		 * @param instance the peer
+		 * @param revision the revision that the peer has in force
+		 * @return completed when it is in force, and after 500 ms at the latest
+		 */
+		CompletableFuture<Void> require(String instance, long revision);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/daemon/StatusReport.java
@@ -0,0 +1,50 @@
+package org.baobabknot.daemon;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.baobabknot.protocol.generated.Load;
+import org.baobabknot.protocol.generated.StatusValue;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the role adds to pongs and to the status that operators pull. Thread-safe.
+ */
+public final class StatusReport {
+
+	private final List<Consumer<StatusValue.Builder>> sources = new CopyOnWriteArrayList<>();
+
+	private volatile Supplier<@Nullable Load> load = () -> null;
+
+	/**
+	 * Sets the source of the load in pongs and status. It is called on event loops and
+	 * must not block.
+	 * @param source current load of the target
+	 */
+	public void load(Supplier<@Nullable Load> source) {
+		this.load = source;
+	}
+
+	/**
+	 * Adds a source of status fields.
+	 * @param source fills in its fields
+	 */
+	public void status(Consumer<StatusValue.Builder> source) {
+		this.sources.add(source);
+	}
+
+	@Nullable Load currentLoad() {
+		return this.load.get();
+	}
+
+	void fill(StatusValue.Builder status) {
+		Load current = this.load.get();
+		if (current != null) {
+			status.setLoad(current);
+		}
+		this.sources.forEach((source) -> source.accept(status));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gossip/MessageHandler.java
@@ -0,0 +1,19 @@
+package org.baobabknot.gossip;
+
+import org.baobabknot.protocol.Connection;
+import org.baobabknot.protocol.generated.Frame;
+
+/**
+ * Receives frames of one kind on stream 0. Called on the event loop of the connection.
+ */
+@FunctionalInterface
+public interface MessageHandler {
+
+	/**
+	 * A frame arrived.
+	 * @param connection the connection
+	 * @param frame the frame
+	 */
+	void received(Connection connection, Frame frame);
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gossip/StreamOpener.java
@@ -0,0 +1,23 @@
+package org.baobabknot.gossip;
+
+import org.baobabknot.protocol.FrameHandler;
+import org.baobabknot.protocol.Stream;
+import org.baobabknot.protocol.generated.Frame;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Accepts streams whose first frame is of one kind. Called on the event loop of the
+ * connection.
+ */
+@FunctionalInterface
+public interface StreamOpener {
+
+	/**
+	 * A peer opened a stream.
+	 * @param stream the stream
+	 * @param first its first frame
+	 * @return handler of later frames; {@code null} closes the stream after what was sent
+	 */
+	@Nullable FrameHandler opened(Stream stream, Frame first);
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/observe/Events.java
@@ -0,0 +1,51 @@
+package org.baobabknot.observe;
+
+import com.google.common.flogger.FluentLogger;
+import org.baobabknot.time.HybridClock;
+import org.baobabknot.time.Timeline;
+import org.baobabknot.time.TimelineEvent;
+
+/**
+ * Records changes of state on the timeline and in the log.
+ */
+public final class Events {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final HybridClock clock;
+
+	private final String instance;
+
+	private final Timeline timeline;
+
+	/**
+	 * Creates an empty record.
+	 * @param clock stamps the events
+	 * @param instance name of this instance
+	 * @param capacity events kept
+	 */
+	public Events(HybridClock clock, String instance, int capacity) {
+		this.clock = clock;
+		this.instance = instance;
+		this.timeline = new Timeline(capacity);
+	}
+
+	/**
+	 * Records a change of state.
+	 * @param kind kind of event in a few words with dashes, such as {@code rules-adopted}
+	 * @param detail what changed, in one line
+	 */
+	public void record(String kind, String detail) {
+		this.timeline.append(new TimelineEvent(this.clock.now(), this.instance, kind, detail));
+		logger.atInfo().log("%s: %s", kind, detail);
+	}
+
+	/**
+	 * The events kept.
+	 * @return the timeline
+	 */
+	public Timeline timeline() {
+		return this.timeline;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/security/BearerToken.java
@@ -0,0 +1,57 @@
+package org.baobabknot.security;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Token of operators. Only its digest is kept, and digests are compared in constant time,
+ * so the time of a comparison tells nothing about the token or its length.
+ */
+public final class BearerToken {
+
+	private static final int LEAST_LENGTH = 16;
+
+	private final byte[] digest;
+
+	private BearerToken(String token) {
+		this.digest = digest(token);
+	}
+
+	/**
+	 * Reads the token from a file; white space around it is ignored.
+	 * @param file the file
+	 * @return the token
+	 * @throws IOException if the file cannot be read or holds fewer than 16 characters
+	 */
+	public static BearerToken read(Path file) throws IOException {
+		String token = Files.readString(file).strip();
+		if (token.length() < LEAST_LENGTH) {
+			throw new IOException(
+					file + " holds a token of " + token.length() + " characters, expected at least " + LEAST_LENGTH);
+		}
+		return new BearerToken(token);
+	}
+
+	/**
+	 * Compares in constant time.
+	 * @param candidate token sent by a peer
+	 * @return whether it is the token
+	 */
+	public boolean matches(String candidate) {
+		return MessageDigest.isEqual(this.digest, digest(candidate));
+	}
+
+	private static byte[] digest(String token) {
+		try {
+			return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("every Java platform has SHA-256", ex);
+		}
+	}
+
+}
--- a/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
@@ -25,8 +25,7 @@
 
 	private static final long GIBIBYTE = 1L << 30;
 
-	private static final ObjectMapper MAPPER = new ObjectMapper()
-		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+	private static final ObjectMapper MAPPER = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
 	private final List<SettingsError> errors = new ArrayList<>();
@@ -46,7 +45,8 @@
 		}
 		catch (JsonProcessingException ex) {
 			String where = (ex.getLocation() != null)
-					? "line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr() : file.toString();
+					? "line " + ex.getLocation().getLineNr() + ", column " + ex.getLocation().getColumnNr()
+					: file.toString();
 			return rejected(where, ex.getOriginalMessage(), "JSON");
 		}
 		catch (IOException ex) {
@@ -128,8 +128,8 @@
 	private Settings.Target target(Section section) {
 		int capacity = section.integer("capacity", -1, 1, 100_000);
 		Settings.Target target = new Settings.Target(section.name("service"), section.url("url"),
-				section.choice("kind", Settings.TargetKind.class),
-				section.integer("coldLimit", capacity, 1, 100_000), capacity);
+				section.choice("kind", Settings.TargetKind.class), section.integer("coldLimit", capacity, 1, 100_000),
+				capacity);
 		section.finish();
 		return target;
 	}
@@ -149,8 +149,7 @@
 
 	private Settings.Links links(Section section, boolean required) {
 		long standard = (required) ? -1 : 0;
-		Settings.Links links = new Settings.Links(
-				section.number("machineBytesPerSecond", standard, 1, 1000 * GIBIBYTE),
+		Settings.Links links = new Settings.Links(section.number("machineBytesPerSecond", standard, 1, 1000 * GIBIBYTE),
 				section.number("regionBytesPerSecond", standard, 1, 1000 * GIBIBYTE));
 		section.finish();
 		return links;
@@ -170,8 +169,8 @@
 	private Settings.Timeouts timeouts(Section section) {
 		Settings.Timeouts timeouts = new Settings.Timeouts(section.integer("requestMs", 30_000, 1, HOUR_MS),
 				section.integer("maxRequestMs", 600_000, 1, HOUR_MS),
-				section.integer("balancerLagMs", 5_000, 0, HOUR_MS),
-				section.integer("shutdownMs", 120_000, 0, HOUR_MS), section.integer("storeMs", 1_000, 10, 60_000),
+				section.integer("balancerLagMs", 5_000, 0, HOUR_MS), section.integer("shutdownMs", 120_000, 0, HOUR_MS),
+				section.integer("storeMs", 1_000, 10, 60_000),
 				section.integer("recordRetentionMs", 600_000, 1000, 24 * HOUR_MS));
 		section.finish();
 		return timeouts;
