--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gossip/RulesDocument.java
@@ -0,0 +1,62 @@
+package org.baobabknot.gossip;
+
+import java.io.IOException;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.baobabknot.configuration.Revision;
+import org.baobabknot.rules.RulesReader;
+import org.baobabknot.rules.RulesResult;
+
+/**
+ * The JSON form of the rule set, as kept in the store and sent between processes.
+ */
+final class RulesDocument {
+
+	/** Key of the rule set in the store. */
+	static final String KEY = "baobabknot/rules";
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private RulesDocument() {
+	}
+
+	/**
+	 * Reads the document. A text that the rules reader refuses is refused as a whole, so
+	 * that no process runs on a part of the rules.
+	 * @param value bytes of the document
+	 * @return the revision, empty if the document is not valid
+	 */
+	static Optional<Revision> read(byte[] value) {
+		try {
+			JsonNode root = MAPPER.readTree(value);
+			long revision = root.path("revision").asLong(0);
+			String text = root.path("text").asText("");
+			if (revision <= 0) {
+				return Optional.empty();
+			}
+			RulesResult rules = new RulesReader().read(text);
+			if (!(rules instanceof RulesResult.Accepted accepted)) {
+				return Optional.empty();
+			}
+			return Optional.of(new Revision(revision, root.path("change_id").asText(""), root.path("who").asText(""),
+					when(root.path("when").asText("")), text, accepted.rules()));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Instant when(String text) {
+		try {
+			return Instant.parse(text);
+		}
+		catch (DateTimeException ex) {
+			return Instant.EPOCH;
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gossip/Self.java
@@ -0,0 +1,12 @@
+package org.baobabknot.gossip;
+
+/**
+ * Identity of this process.
+ *
+ * @param instance name of the instance
+ * @param failureDomain its failure domain
+ * @param region its region
+ * @param entry whether it is an entry; otherwise it is an agent
+ */
+public record Self(String instance, String failureDomain, String region, boolean entry) {
+}
--- a/protocol/src/main/java/org/baobabknot/protocol/Connection.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Connection.java
@@ -191,19 +191,6 @@
 		}
 	}
 
-	/**
-	 * Restarts the timeout of pongs after this process was paused, so that the pause is
-	 * not taken for a loss of the peer.
-	 */
-	public void resumed() {
-		eventLoop().execute(() -> {
-			PingMonitor monitor = this.pings;
-			if (monitor != null) {
-				monitor.resumed(now());
-			}
-		});
-	}
-
 	/**
 	 * Closes the connection; open streams are lost.
 	 * @param failure told to the handlers and the listener
--- a/protocol/src/main/java/org/baobabknot/protocol/PingMonitor.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/PingMonitor.java
@@ -1,5 +1,7 @@
 package org.baobabknot.protocol;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Decides when a connection sends a ping and when it counts as lost. Not thread-safe:
  * used on the event loop of the connection.
@@ -18,12 +20,18 @@
 
 	}
 
+	// Checks run every 100 ms. A later one means that this process was paused, which must
+	// not be taken for a loss of every peer.
+	private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private final long busyNanos;
 
 	private final long idleNanos;
 
 	private final long timeoutNanos;
 
+	private long lastCheck;
+
 	private long lastPing;
 
 	private long unansweredSince;
@@ -44,6 +52,7 @@
 		this.idleNanos = settings.pingIdle().toNanos();
 		this.timeoutNanos = settings.pongTimeout().toNanos();
 		this.lastPing = nowNanos;
+		this.lastCheck = nowNanos;
 	}
 
 	/**
@@ -53,6 +62,10 @@
 	 * @return the action due now
 	 */
 	public Action check(boolean busy, long nowNanos) {
+		if (nowNanos - this.lastCheck > PAUSE_NANOS) {
+			this.unansweredSince = nowNanos;
+		}
+		this.lastCheck = nowNanos;
 		if (this.unanswered && nowNanos - this.unansweredSince >= this.timeoutNanos) {
 			return Action.LOST;
 		}
@@ -91,15 +104,6 @@
 		}
 	}
 
-	/**
-	 * Forgets the time that passed while this process was paused, so that the pause is
-	 * not taken for a loss of every peer.
-	 * @param nowNanos monotonic time
-	 */
-	public void resumed(long nowNanos) {
-		this.unansweredSince = nowNanos;
-	}
-
 	/**
 	 * Round-trip time of the last answered ping.
 	 * @return nanoseconds, 0 before the first answer
