Add the operator tool baobabknotctl

A change whose answer the store lost is settled by reading back; the history of the value also holds the change id, so an accepted change is still recognized after another operator's change has followed. While the store holds the earlier version, the same change is written again, which only the compare-and-swap decides. Retrying on a conflict was ruled out: the file would overwrite a change that its author has not seen.

--- /dev/null
+++ b/cli/src/main/java/org/baobabknot/command/FleetClient.java
@@ -0,0 +1,239 @@
+package org.baobabknot.command;
+
+import java.io.File;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import javax.net.ssl.SSLException;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import org.baobabknot.protocol.ConnectResult;
+import org.baobabknot.protocol.Connection;
+import org.baobabknot.protocol.ConnectionListener;
+import org.baobabknot.protocol.ConnectionSettings;
+import org.baobabknot.protocol.Connector;
+import org.baobabknot.protocol.Failure;
+import org.baobabknot.protocol.FrameHandler;
+import org.baobabknot.protocol.ProtocolCounters;
+import org.baobabknot.protocol.Stream;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Member;
+import org.baobabknot.protocol.generated.MemberState;
+import org.baobabknot.protocol.generated.MembersPull;
+import org.baobabknot.protocol.generated.RulesValue;
+import org.baobabknot.protocol.generated.StatusPull;
+import org.baobabknot.protocol.generated.StatusValue;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Asks the processes of the fleet with the operator's credentials. Connections are kept
+ * for the run of the tool.
+ */
+final class FleetClient implements AutoCloseable {
+
+	private final Connector connector;
+
+	private final List<InetSocketAddress> entries;
+
+	private final long timeoutMillis;
+
+	private final Map<String, CompletableFuture<ConnectResult>> connections = new ConcurrentHashMap<>();
+
+	private FleetClient(Connector connector, List<InetSocketAddress> entries, long timeoutMillis) {
+		this.connector = connector;
+		this.entries = entries;
+		this.timeoutMillis = timeoutMillis;
+	}
+
+	static FleetClient create(ToolSettings settings, EventLoopGroup group) throws CommandFailure {
+		Connector connector = new Connector(group, ConnectionSettings.defaults(), new OperatorState(settings.token()),
+				tls(settings.tls()), new ProtocolCounters());
+		return new FleetClient(connector, settings.addresses(), settings.timeoutMillis());
+	}
+
+	private static @Nullable SslContext tls(ToolSettings.@Nullable TlsFiles files) throws CommandFailure {
+		if (files == null) {
+			return null;
+		}
+		try {
+			return SslContextBuilder.forClient()
+				.keyManager(new File(files.certificate()), new File(files.key()))
+				.trustManager(new File(files.authorities()))
+				.clientAuth(ClientAuth.REQUIRE)
+				.endpointIdentificationAlgorithm("")
+				.build();
+		}
+		catch (SSLException | IllegalArgumentException ex) {
+			throw new CommandFailure(ExitStatus.USAGE, "settings: tls: " + ex.getMessage());
+		}
+	}
+
+	/**
+	 * Returns the member list of the first process in the settings that has one.
+	 * @return live and leaving members
+	 * @throws CommandFailure when none answers
+	 */
+	List<Member> members() throws CommandFailure {
+		String last = "settings: processes is empty";
+		for (InetSocketAddress entry : this.entries) {
+			Frame.Builder pull = Frame.newBuilder().setMembersPull(MembersPull.getDefaultInstance());
+			Answer answer = ask(entry.getHostString(), entry.getPort(), pull, Frame::hasMembersValue).join();
+			if (answer.frame() == null) {
+				last = answer.failure();
+				continue;
+			}
+			List<Member> members = answer.frame()
+				.getMembersValue()
+				.getMembersList()
+				.stream()
+				.filter((member) -> member.getState() != MemberState.GONE)
+				.toList();
+			if (!members.isEmpty()) {
+				return members;
+			}
+			last = entry + " knows no members yet";
+		}
+		throw new CommandFailure(ExitStatus.UNREACHABLE, "no process has a member list: " + last);
+	}
+
+	/**
+	 * Asks processes for their status at the same time.
+	 * @param members the processes
+	 * @return one reply for each, in the same order
+	 */
+	List<Reply> statuses(List<Member> members) {
+		List<CompletableFuture<Answer>> answers = new ArrayList<>();
+		for (Member member : members) {
+			Frame.Builder pull = Frame.newBuilder().setStatusPull(StatusPull.getDefaultInstance());
+			answers.add(ask(member, pull, Frame::hasStatusValue));
+		}
+		List<Reply> replies = new ArrayList<>();
+		for (int i = 0; i < members.size(); i++) {
+			Answer answer = answers.get(i).join();
+			Optional<StatusValue> status = Optional.ofNullable(answer.frame()).map(Frame::getStatusValue);
+			replies.add(new Reply(members.get(i), status, answer.failure()));
+		}
+		return replies;
+	}
+
+	/**
+	 * Pushes accepted rules to the entries in the settings.
+	 * @param rules the state in the store
+	 * @return the number of processes that took the message
+	 */
+	int push(StoredRules rules) {
+		RulesValue value = RulesValue.newBuilder()
+			.setRevision(rules.revision())
+			.setValue(ByteString.copyFrom(rules.toBytes()))
+			.build();
+		List<CompletableFuture<Boolean>> pushes = new ArrayList<>();
+		for (InetSocketAddress entry : this.entries) {
+			pushes.add(connection(entry.getHostString(), entry.getPort()).thenApply((result) -> {
+				if (result instanceof ConnectResult.Connected connected) {
+					connected.connection().send(Frame.newBuilder().setRulesValue(value));
+					return true;
+				}
+				return false;
+			}));
+		}
+		return (int) pushes.stream().filter(CompletableFuture::join).count();
+	}
+
+	/**
+	 * Sends a request to a member.
+	 * @param member the process
+	 * @param request the first frame
+	 * @param expected tells the frame that answers it
+	 * @return the answer or the failure
+	 */
+	CompletableFuture<Answer> ask(Member member, Frame.Builder request, Predicate<Frame> expected) {
+		return ask(member.getHost(), member.getPort(), request, expected);
+	}
+
+	private CompletableFuture<Answer> ask(String host, int port, Frame.Builder request, Predicate<Frame> expected) {
+		String peer = host + ":" + port;
+		return connection(host, port).thenCompose((result) -> {
+			if (result instanceof ConnectResult.Connected connected) {
+				return exchange(connected.connection(), request, expected);
+			}
+			Failure failure = ((ConnectResult.NotConnected) result).failure();
+			return CompletableFuture.completedFuture(new Answer(null, failure.toString()));
+		})
+			.completeOnTimeout(new Answer(null, "no answer from " + peer + " within " + this.timeoutMillis + " ms"),
+					this.timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private static CompletableFuture<Answer> exchange(Connection connection, Frame.Builder request,
+			Predicate<Frame> expected) {
+		CompletableFuture<Answer> answer = new CompletableFuture<>();
+		connection.open(request, new FrameHandler() {
+
+			@Override
+			public void received(Stream stream, Frame frame) {
+				if (expected.test(frame)) {
+					answer.complete(new Answer(frame, ""));
+				}
+				else {
+					answer.complete(
+							new Answer(null, connection.peerName() + " answered " + frame.getBodyCase() + " instead"));
+				}
+				stream.close();
+			}
+
+			@Override
+			public void lost(Stream stream, Failure failure) {
+				answer.complete(new Answer(null, failure.toString()));
+			}
+
+		});
+		return answer;
+	}
+
+	private CompletableFuture<ConnectResult> connection(String host, int port) {
+		return this.connections.computeIfAbsent(host + ":" + port,
+				(key) -> this.connector.connect(host, port, new ConnectionListener() {
+				}));
+	}
+
+	@Override
+	public void close() {
+		for (CompletableFuture<ConnectResult> open : this.connections.values()) {
+			open.thenAccept((result) -> {
+				if (result instanceof ConnectResult.Connected connected) {
+					connected.connection().close(new Failure("close", "operator", "done"));
+				}
+			});
+		}
+	}
+
+	/**
+	 * Answer of a process.
+	 *
+	 * @param frame the answer, or nothing on failure
+	 * @param failure step, peer and cause; empty on success
+	 */
+	record Answer(@Nullable Frame frame, String failure) {
+	}
+
+	/**
+	 * Status of a member.
+	 *
+	 * @param member the member
+	 * @param status its status, or nothing when it does not answer
+	 * @param failure why it does not answer
+	 */
+	record Reply(Member member, Optional<StatusValue> status, String failure) {
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabknot/command/InForce.java
@@ -0,0 +1,59 @@
+package org.baobabknot.command;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.baobabknot.protocol.generated.Member;
+
+/**
+ * Follows a revision until every process of the member list has adopted it. A process
+ * that has confirmed is not asked again.
+ */
+final class InForce {
+
+	private final FleetClient fleet;
+
+	private final long revision;
+
+	private final List<Member> members;
+
+	private final Set<String> confirmed = new HashSet<>();
+
+	InForce(FleetClient fleet, long revision) throws CommandFailure {
+		this.fleet = fleet;
+		this.revision = revision;
+		this.members = fleet.members();
+	}
+
+	/**
+	 * Asks the processes that have not confirmed yet.
+	 * @return those that have not adopted the revision or do not answer
+	 */
+	List<Member> lagging() {
+		List<Member> asked = this.members.stream()
+			.filter((member) -> !this.confirmed.contains(member.getInstance()))
+			.toList();
+		List<Member> lagging = new ArrayList<>();
+		for (FleetClient.Reply reply : this.fleet.statuses(asked)) {
+			if (reply.status().isPresent() && reply.status().get().getRulesRevision() >= this.revision) {
+				this.confirmed.add(reply.member().getInstance());
+			}
+			else {
+				lagging.add(reply.member());
+			}
+		}
+		return lagging;
+	}
+
+	int processes() {
+		return this.members.size();
+	}
+
+	String progress() {
+		return "revision " + this.revision + " in force on " + this.confirmed.size() + " of " + this.members.size()
+				+ " processes";
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabknot/command/StoredRules.java
@@ -0,0 +1,141 @@
+package org.baobabknot.command;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The value kept in the store under {@code baobabknot/rules}.
+ *
+ * @param revision number of the state, from 1; 0 when nothing was applied yet
+ * @param changeId identifies the change that led to this state
+ * @param who who made it
+ * @param when when it was made, ISO 8601
+ * @param text the rules as written
+ * @param history the last changes, latest first, with this one
+ */
+record StoredRules(long revision, String changeId, String who, String when, String text, List<Change> history) {
+
+	/** State of a store without rules. */
+	static final StoredRules NONE = new StoredRules(0, "", "", "", "", List.of());
+
+	private static final int KEPT_CHANGES = 100;
+
+	// A first change of several hundred lines would otherwise fill the history alone; the
+	// store holds at most 1 MB.
+	private static final int KEPT_LINES = 50;
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	StoredRules {
+		history = List.copyOf(history);
+	}
+
+	/**
+	 * Returns the state after a change.
+	 * @param id the fresh id of the change
+	 * @param by who makes it
+	 * @param at when
+	 * @param newText the new rules
+	 * @param lines what differs
+	 * @return the next revision
+	 */
+	StoredRules next(String id, String by, Instant at, String newText, List<String> lines) {
+		List<String> kept = (lines.size() <= KEPT_LINES) ? lines : new ArrayList<>(lines.subList(0, KEPT_LINES));
+		if (kept != lines) {
+			kept.add("… and " + (lines.size() - KEPT_LINES) + " more lines");
+		}
+		List<Change> changes = new ArrayList<>();
+		changes.add(new Change(this.revision + 1, id, by, at.toString(), kept));
+		changes.addAll(this.history.subList(0, Math.min(KEPT_CHANGES - 1, this.history.size())));
+		return new StoredRules(this.revision + 1, id, by, at.toString(), newText, changes);
+	}
+
+	/**
+	 * Tells whether a change took effect at some time, also when others followed.
+	 * @param id the id of the change
+	 * @return true when this state or its history contains the change
+	 */
+	boolean contains(String id) {
+		return this.changeId.equals(id) || this.history.stream().anyMatch((change) -> change.changeId().equals(id));
+	}
+
+	/**
+	 * Reads the JSON form.
+	 * @param value the bytes in the store
+	 * @return the state
+	 * @throws CommandFailure when the value is malformed
+	 */
+	static StoredRules parse(byte[] value) throws CommandFailure {
+		try {
+			JsonNode node = MAPPER.readTree(value);
+			List<Change> changes = new ArrayList<>();
+			node.path("history").forEach((entry) -> changes.add(Change.read(entry)));
+			return new StoredRules(node.path("revision").asLong(), node.path("change_id").asText(),
+					node.path("who").asText(), node.path("when").asText(), node.path("text").asText(), changes);
+		}
+		catch (IOException ex) {
+			throw new CommandFailure(ExitStatus.REFUSED, "the value in the store is no rule set: " + ex.getMessage());
+		}
+	}
+
+	/**
+	 * Returns the JSON form.
+	 * @return the bytes to store
+	 */
+	byte[] toBytes() {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		node.put("revision", this.revision)
+			.put("change_id", this.changeId)
+			.put("who", this.who)
+			.put("when", this.when)
+			.put("text", this.text);
+		ArrayNode changes = node.putArray("history");
+		this.history.forEach((change) -> changes.add(change.toJson()));
+		return node.toString().getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * One change of the rules.
+	 *
+	 * @param revision the revision it led to
+	 * @param changeId its id
+	 * @param who who made it
+	 * @param when when, ISO 8601
+	 * @param lines removed and added rules
+	 */
+	record Change(long revision, String changeId, String who, String when, List<String> lines) {
+
+		Change {
+			lines = List.copyOf(lines);
+		}
+
+		private static Change read(JsonNode node) {
+			List<String> lines = new ArrayList<>();
+			node.path("changes").forEach((line) -> lines.add(line.asText()));
+			return new Change(node.path("revision").asLong(), node.path("change_id").asText(),
+					node.path("who").asText(), node.path("when").asText(), lines);
+		}
+
+		ObjectNode toJson() {
+			ObjectNode node = JsonNodeFactory.instance.objectNode();
+			node.put("revision", this.revision)
+				.put("change_id", this.changeId)
+				.put("who", this.who)
+				.put("when", this.when);
+			ArrayNode array = node.putArray("changes");
+			this.lines.forEach(array::add);
+			return node;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/org/baobabknot/command/package-info.java
@@ -0,0 +1,13 @@
+/**
+ * The operator tool {@code baobabknotctl}: checks and applies rules, shows what is in
+ * force where, drains instances and merges the timelines of all processes.
+ *
+ * <pre>
+ * baobabknotctl --settings tool.json check rules.txt
+ * baobabknotctl --settings tool.json apply rules.txt --wait
+ * </pre>
+ */
+@NullMarked
+package org.baobabknot.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cli/src/test/java/org/baobabknot/command/RulesStoreTests.java
@@ -0,0 +1,209 @@
+package org.baobabknot.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.baobabknot.httpclient.Failure;
+import org.baobabknot.store.ConfigurationStore;
+import org.baobabknot.store.LeaseResult;
+import org.baobabknot.store.ReadResult;
+import org.baobabknot.store.StoredValue;
+import org.baobabknot.store.WatchResult;
+import org.baobabknot.store.WriteResult;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link RulesStore} with a store in memory that loses answers.
+ */
+class RulesStoreTests {
+
+	private final FaultyStore store = new FaultyStore();
+
+	private final RulesStore rules = new RulesStore(this.store, "store", (millis) -> {
+	});
+
+	private StoredRules next(StoredRules base, String changeId) {
+		return base.next(changeId, "tester", Instant.EPOCH, "text of " + changeId, List.of("+ " + changeId));
+	}
+
+	private ChangeOutcome write(String changeId, long version) throws CommandFailure {
+		return this.rules.write(next(StoredRules.NONE, changeId), version, 4);
+	}
+
+	@Nested
+	class LostAnswers {
+
+		// Guards against reporting an accepted change as failed.
+		@Test
+		void findsAnAcceptedChangeByReadingBack() throws CommandFailure {
+			RulesStoreTests.this.store.faults.add(Fault.LOSE_ANSWER);
+			assertThat(write("a", 0), is(new ChangeOutcome.Accepted(next(StoredRules.NONE, "a"), true)));
+			assertThat(RulesStoreTests.this.store.version, is(1L));
+		}
+
+		// Guards against an accepted change reported as refused because another
+		// operator's
+		// change followed before the value was read back.
+		@Test
+		void findsAnAcceptedChangeInTheHistoryOfALaterOne() throws CommandFailure {
+			RulesStoreTests.this.store.faults.add(Fault.LOSE_ANSWER);
+			StoredRules ours = next(StoredRules.NONE, "a");
+			RulesStoreTests.this.store.afterWrite = () -> RulesStoreTests.this.store.put(next(ours, "b"));
+			assertThat(write("a", 0), is(new ChangeOutcome.Accepted(ours, true)));
+		}
+
+		// Guards against a request lost on its way being reported as accepted.
+		@Test
+		void writesAgainWhenTheRequestWasLost() throws CommandFailure {
+			RulesStoreTests.this.store.faults.add(Fault.LOSE_REQUEST);
+			assertThat(write("a", 0), instanceOf(ChangeOutcome.Accepted.class));
+			assertThat(RulesStoreTests.this.store.version, is(1L));
+		}
+
+		// Guards against claiming a result while the store stays down.
+		@Test
+		void reportsUnknownWhenTheStoreStaysDown() throws CommandFailure {
+			RulesStoreTests.this.store.faults.add(Fault.LOSE_ANSWER);
+			RulesStoreTests.this.store.downAfterWrite = true;
+			assertThat(write("a", 0), instanceOf(ChangeOutcome.Unknown.class));
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		// Guards against overwriting the change of another operator.
+		@Test
+		void doesNotOverwriteAConcurrentChange() throws CommandFailure {
+			StoredRules other = next(StoredRules.NONE, "b");
+			RulesStoreTests.this.store.put(other);
+			assertThat(write("a", 0), is(new ChangeOutcome.Overtaken(other)));
+			assertThat(RulesStoreTests.this.rules.read().rules(), is(other));
+		}
+
+		// Guards against "unknown" for a change that certainly was not written.
+		@Test
+		void reportsNotWrittenWhenTheStoreRefusesAllAttempts() throws CommandFailure {
+			RulesStoreTests.this.store.down = true;
+			assertThat(write("a", 0), instanceOf(ChangeOutcome.NotWritten.class));
+		}
+
+	}
+
+	@Nested
+	class History {
+
+		// Guards against a value that grows beyond what the store holds.
+		@Test
+		void keepsTheLastHundredChanges() throws CommandFailure {
+			StoredRules state = StoredRules.NONE;
+			for (int i = 0; i < 130; i++) {
+				state = next(state, "change-" + i);
+			}
+			assertThat(StoredRules.parse(state.toBytes()), is(state));
+			assertThat(state.history().size(), is(100));
+			assertThat(state.history().get(0).revision(), is(130L));
+		}
+
+	}
+
+	private enum Fault {
+
+		LOSE_ANSWER, LOSE_REQUEST
+
+	}
+
+	private static final class FaultyStore implements ConfigurationStore {
+
+		private static final Failure FAILURE = Failure.afterSending("read answer", "store", "connection closed");
+
+		final Deque<Fault> faults = new ArrayDeque<>();
+
+		Runnable afterWrite = () -> {
+		};
+
+		boolean down;
+
+		boolean downAfterWrite;
+
+		private byte[] value = {};
+
+		private long version;
+
+		void put(StoredRules rules) {
+			this.value = rules.toBytes();
+			this.version++;
+		}
+
+		@Override
+		public CompletableFuture<ReadResult> read(String key) {
+			if (this.down) {
+				return CompletableFuture.completedFuture(new ReadResult.Failed(FAILURE));
+			}
+			return CompletableFuture.completedFuture((this.version == 0) ? new ReadResult.Absent()
+					: new ReadResult.Found(new StoredValue(key, this.value, this.version)));
+		}
+
+		@Override
+		public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, byte[] written) {
+			return CompletableFuture.completedFuture(write(expectedVersion, written));
+		}
+
+		private WriteResult write(long expectedVersion, byte[] written) {
+			if (this.down) {
+				return new WriteResult.Failed(FAILURE);
+			}
+			Fault fault = this.faults.poll();
+			if (fault == Fault.LOSE_REQUEST) {
+				return new WriteResult.Unknown(FAILURE);
+			}
+			if (expectedVersion != this.version) {
+				return new WriteResult.Conflict(this.version);
+			}
+			this.value = written;
+			this.version++;
+			this.afterWrite.run();
+			this.down = this.downAfterWrite;
+			return (fault == Fault.LOSE_ANSWER) ? new WriteResult.Unknown(FAILURE)
+					: new WriteResult.Written(this.version);
+		}
+
+		@Override
+		public CompletableFuture<WriteResult> compareAndSet(String key, long expectedVersion, byte[] written,
+				String lease) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<WriteResult> delete(String key, long expectedVersion) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<WatchResult> watch(String key, long aboveVersion, Duration wait) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<LeaseResult> lease(Duration ttl) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public CompletableFuture<LeaseResult> renew(String id) {
+			throw new UnsupportedOperationException();
+		}
+
+	}
+
+}
