Push accepted rules on a stream of their own and count confirmations

A process answers a pushed value on its stream with the revision that it has in force. The tool sent the push as a message on stream 0, which processes accept from peers only; the number it reported counted connections, not adoptions.

--- a/cli/src/main/java/org/baobabknot/command/ApplyCommand.java
+++ b/cli/src/main/java/org/baobabknot/command/ApplyCommand.java
@@ -120,7 +120,7 @@
 	}
 
 	private static CommandResult accepted(StoredRules rules, OptionSet options, Tool tool) throws CommandFailure {
-		ObjectNode json = json("accepted", rules);
+		ObjectNode json = json("accepted", rules).put("accepted_at_ms", System.currentTimeMillis());
 		List<String> lines = new ArrayList<>();
 		lines.add("accepted as revision " + rules.revision() + ", change " + rules.changeId());
 		int pushed = tool.fleet().push(rules);
--- a/cli/src/main/java/org/baobabknot/command/FleetClient.java
+++ b/cli/src/main/java/org/baobabknot/command/FleetClient.java
@@ -130,24 +130,23 @@
 	/**
 	 * Pushes accepted rules to the entries in the settings.
 	 * @param rules the state in the store
-	 * @return the number of processes that took the message
+	 * @return the number of processes that then have this or a higher revision in force
 	 */
 	int push(StoredRules rules) {
 		RulesValue value = RulesValue.newBuilder()
 			.setRevision(rules.revision())
 			.setValue(ByteString.copyFrom(rules.toBytes()))
 			.build();
-		List<CompletableFuture<Boolean>> pushes = new ArrayList<>();
+		List<CompletableFuture<Answer>> pushes = new ArrayList<>();
 		for (InetSocketAddress entry : this.entries) {
-			pushes.add(connection(entry.getHostString(), entry.getPort()).thenApply((result) -> {
-				if (result instanceof ConnectResult.Connected connected) {
-					connected.connection().send(Frame.newBuilder().setRulesValue(value));
-					return true;
-				}
-				return false;
-			}));
+			pushes.add(ask(entry.getHostString(), entry.getPort(), Frame.newBuilder().setRulesValue(value),
+					Frame::hasRulesValue));
 		}
-		return (int) pushes.stream().filter(CompletableFuture::join).count();
+		return (int) pushes.stream()
+			.map(CompletableFuture::join)
+			.filter((answer) -> answer.frame() != null
+					&& answer.frame().getRulesValue().getRevision() >= rules.revision())
+			.count();
 	}
 
 	/**
