--- a/core/src/main/java/org/baobabknot/admission/FairQueue.java
+++ b/core/src/main/java/org/baobabknot/admission/FairQueue.java
@@ -157,6 +157,21 @@
 		}
 	}
 
+	/**
+	 * Removes every request, for instance because admission is closed.
+	 * @return the removed requests
+	 */
+	public List<Waiting<T>> removeAll() {
+		synchronized (this.lock) {
+			List<Waiting<T>> removed = new ArrayList<>();
+			for (PriorityLane<T> lane : this.lanes.values()) {
+				lane.removeAll(removed);
+			}
+			removed.forEach(this::left);
+			return removed;
+		}
+	}
+
 	/**
 	 * Removes a request that is no longer wanted.
 	 * @param waiting the request as it was offered
@@ -172,6 +187,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request of a workspace would be refused now, without adding it.
+	 * @param workspace the workspace
+	 * @return whether the queue or the part of the workspace is full
+	 */
+	public boolean full(String workspace) {
+		synchronized (this.lock) {
+			int own = waitingOf(workspace);
+			return own >= this.settings.workspaceCapacity() || (own > 0 && this.size >= this.settings.capacity());
+		}
+	}
+
 	/**
 	 * Returns the number of waiting requests.
 	 * @return the number of waiting requests
--- a/core/src/main/java/org/baobabknot/admission/PriorityLane.java
+++ b/core/src/main/java/org/baobabknot/admission/PriorityLane.java
@@ -119,6 +119,15 @@
 		}
 	}
 
+	void removeAll(List<Waiting<T>> removed) {
+		for (Line<T> line : this.round) {
+			removed.addAll(line.waiting);
+		}
+		this.round.clear();
+		this.lines.clear();
+		this.size = 0;
+	}
+
 	boolean remove(String workspace, T item) {
 		Line<T> line = this.lines.get(workspace);
 		if (line == null || !line.waiting.removeIf((waiting) -> waiting.item() == item)) {
--- a/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
+++ b/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
@@ -201,14 +201,18 @@
 
 	/**
 	 * Removes one reason for closed admission. After a switch of version or a period of
-	 * unavailability the target counts as cold.
+	 * unavailability the target counts as cold; after a switch nothing starts until a new
+	 * report, because the reports from before do not tell that it is cold.
 	 * @param reason the reason that no longer applies
 	 * @param nowNanos monotonic time
 	 */
 	public void open(CloseReason reason, long nowNanos) {
 		synchronized (this.lock) {
 			boolean removed = this.closed.remove(reason);
-			if (removed && (reason == CloseReason.SWITCHING || reason == CloseReason.UNAVAILABLE)) {
+			if (removed && reason == CloseReason.SWITCHING) {
+				becomeBlind(nowNanos);
+			}
+			else if (removed && reason == CloseReason.UNAVAILABLE) {
 				fall(nowNanos);
 			}
 		}
--- a/core/src/main/java/org/baobabknot/record/RequestRecord.java
+++ b/core/src/main/java/org/baobabknot/record/RequestRecord.java
@@ -126,6 +126,19 @@
 		}
 	}
 
+	/**
+	 * Forgets a request that was handed over but that the target certainly did not run.
+	 * @param requestId id of the request
+	 */
+	public void notRun(Hash128 requestId) {
+		synchronized (this.lock) {
+			Entry entry = this.byId.get(requestId);
+			if (entry != null && entry.state == State.HANDED_OVER) {
+				remove(entry);
+			}
+		}
+	}
+
 	/**
 	 * Keeps the answer of the target to a request that was handed over.
 	 * @param requestId id of the request
--- a/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
+++ b/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
@@ -141,6 +141,8 @@
 			TargetLimiterTests.this.limiter.open(CloseReason.SWITCHING, TargetLimiterTests.this.now);
 			assertThat(startAll().size(), is(0));
 			TargetLimiterTests.this.limiter.open(CloseReason.LEAVING, TargetLimiterTests.this.now);
+			TargetLimiterTests.this.limiter.targetObserved(1, true, TargetLimiterTests.this.now,
+					TargetLimiterTests.this.now);
 			assertThat(startAll().size(), is(2));
 		}
 
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/Answers.java
@@ -0,0 +1,70 @@
+package org.baobabknot.agent;
+
+import java.util.List;
+import java.util.Map;
+
+import com.google.protobuf.ByteString;
+import org.baobabknot.protocol.generated.BodyEnd;
+import org.baobabknot.protocol.generated.Failed;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Header;
+import org.baobabknot.protocol.generated.Load;
+import org.baobabknot.protocol.generated.Refused;
+import org.baobabknot.protocol.generated.ResponseStart;
+import org.baobabknot.record.StoredResult;
+
+/**
+ * Builds the frames of answers.
+ */
+final class Answers {
+
+	private Answers() {
+	}
+
+	static Frame.Builder refused(Refusal refusal, Load load) {
+		return Frame.newBuilder()
+			.setRefused(Refused.newBuilder()
+				.setReason(refusal.reason())
+				.setRetryAfterMs(refusal.retryAfterMillis())
+				.setDetail(refusal.detail())
+				.setLoad(load));
+	}
+
+	static Frame.Builder failed(String step, String peer, String detail, boolean unknown) {
+		return Frame.newBuilder()
+			.setFailed(Failed.newBuilder().setStep(step).setPeer(peer).setDetail(detail).setUnknown(unknown));
+	}
+
+	static ResponseStart.Builder start(int status, List<Map.Entry<String, String>> headers, String version,
+			String digest) {
+		ResponseStart.Builder start = ResponseStart.newBuilder()
+			.setStatus(status)
+			.setVersion(version)
+			.setDigest(digest);
+		headers.forEach(
+				(header) -> start.addHeaders(Header.newBuilder().setName(header.getKey()).setValue(header.getValue())));
+		return start;
+	}
+
+	static Frame.Builder end(long length) {
+		return Frame.newBuilder().setBodyEnd(BodyEnd.newBuilder().setLength(length));
+	}
+
+	/**
+	 * Sends a kept answer.
+	 * @param result the answer, with its body
+	 * @param load load of the target
+	 * @param to takes the frames in order
+	 */
+	static void replay(StoredResult result, Load load, org.baobabknot.protocol.Stream to) {
+		byte[] body = (result.body() != null) ? result.body() : new byte[0];
+		to.send(Frame.newBuilder()
+			.setResponseStart(start(result.status(), result.headers(), result.version(), result.digest()).setLoad(load)
+				.setReplayed(true)));
+		if (body.length > 0) {
+			to.sendBody(ByteString.copyFrom(body));
+		}
+		to.send(end(body.length));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/LoadSource.java
@@ -0,0 +1,56 @@
+package org.baobabknot.agent;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.baobabknot.admission.CloseReason;
+import org.baobabknot.protocol.generated.Admission;
+import org.baobabknot.protocol.generated.Load;
+import org.baobabknot.target.TargetStatus;
+
+/**
+ * Current load of the target for pongs and answers.
+ */
+final class LoadSource implements Supplier<Load> {
+
+	private final String service;
+
+	private final org.baobabknot.agent.Admission admission;
+
+	private final TargetWatch watch;
+
+	LoadSource(String service, org.baobabknot.agent.Admission admission, TargetWatch watch) {
+		this.service = service;
+		this.admission = admission;
+		this.watch = watch;
+	}
+
+	@Override
+	public Load get() {
+		Optional<TargetStatus> status = this.watch.last();
+		return Load.newBuilder()
+			.setService(this.service)
+			.setRunning(this.admission.running())
+			.setQueued(this.admission.queued())
+			.setLimit(this.admission.limiter().limit())
+			.setAdmission(admission(this.admission.limiter().closedFor()))
+			.setVersion(status.map(TargetStatus::version).orElse(""))
+			.setDigest(status.map(TargetStatus::digest).orElse(""))
+			.setLatencyUs(TimeUnit.NANOSECONDS.toMicros(this.admission.limiter().latencyNanos()))
+			.build();
+	}
+
+	private static Admission admission(Optional<CloseReason> closed) {
+		if (closed.isEmpty()) {
+			return Admission.OPEN;
+		}
+		return switch (closed.get()) {
+			case SWITCHING -> Admission.SWITCHING;
+			case LEAVING -> Admission.LEAVING;
+			case UNAVAILABLE -> Admission.UNAVAILABLE;
+			case DOMAIN_OUT -> Admission.DOMAIN_OUT;
+		};
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/Running.java
@@ -0,0 +1,55 @@
+package org.baobabknot.agent;
+
+import org.baobabknot.admission.Decision;
+import org.baobabknot.admission.Observation;
+
+/**
+ * The slot of one admitted request, which is given back exactly once. Used on one event
+ * loop.
+ */
+final class Running {
+
+	private final AgentParts parts;
+
+	private final Decision.Admitted decision;
+
+	private final long startNanos;
+
+	private long firstByteNanos;
+
+	private boolean ended;
+
+	Running(AgentParts parts, Decision.Admitted decision) {
+		this.parts = parts;
+		this.decision = decision;
+		this.startNanos = parts.node().now();
+	}
+
+	long incarnation() {
+		return this.decision.incarnation();
+	}
+
+	void firstByte() {
+		this.firstByteNanos = this.parts.node().now();
+	}
+
+	void healthy() {
+		end(Observation.healthy(this.decision, Math.max(1, this.firstByteNanos - this.startNanos)));
+	}
+
+	void failed() {
+		end(Observation.failed(this.decision));
+	}
+
+	void neutral() {
+		end(Observation.neutral(this.decision));
+	}
+
+	private void end(Observation observation) {
+		if (!this.ended) {
+			this.ended = true;
+			this.parts.admission().finished(observation);
+		}
+	}
+
+}
