--- a/core/src/main/java/org/baobabknot/rollout/SwitchRank.java
+++ b/core/src/main/java/org/baobabknot/rollout/SwitchRank.java
@@ -55,6 +55,9 @@
 	 * @return the decision
 	 */
 	public SwitchDecision decide(RolloutView view, Collection<String> listed, int out, long nowNanos) {
+		// Recorded in every phase: an agent that has just started a rollout must not take
+		// members that vanished a moment ago for long gone.
+		listed.forEach((instance) -> this.lastListed.put(instance, nowNanos));
 		RolloutEntry own = view.own();
 		if (own.phase() == RolloutPhase.OUT || own.phase() == RolloutPhase.DONE) {
 			return new SwitchDecision.Wait("phase is " + own.phase());
@@ -86,7 +89,6 @@
 	private List<String> blocking(RolloutView view, RolloutEntry own, Collection<String> listed, long nowNanos) {
 		List<String> blocking = new ArrayList<>();
 		Set<String> heard = new HashSet<>();
-		listed.forEach((instance) -> this.lastListed.put(instance, nowNanos));
 		for (RolloutView.PeerReport peer : view.peers()) {
 			heard.add(peer.entry().instance());
 			if (!expired(peer, listed, nowNanos)) {
