--- /dev/null
+++ b/standins/src/test/java/org/baobabknot/standin/LinksStandinTests.java
@@ -0,0 +1,135 @@
+package org.baobabknot.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.httpclient.HttpCall;
+import org.baobabknot.httpclient.HttpClient;
+import org.baobabknot.httpclient.HttpResult;
+import org.baobabknot.standin.links.LinkSettings;
+import org.baobabknot.standin.links.LinksStandin;
+import org.baobabknot.standin.plain.PlainSettings;
+import org.baobabknot.standin.plain.PlainStandin;
+import org.baobabknot.weights.Digests;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+
+/**
+ * Tests of links in front of a plain service.
+ */
+class LinksStandinTests {
+
+	private static final byte[] ORDER = "order".getBytes(StandardCharsets.UTF_8);
+
+	private final StandinFixture fixture = new StandinFixture();
+
+	private final PlainStandin plain = new PlainStandin(PlainSettings.of("orders", "b"));
+
+	private StandinServer service;
+
+	private StandinServer server;
+
+	private LinksStandin links;
+
+	@BeforeEach
+	void start() {
+		this.service = this.fixture.start(this.plain);
+		this.links = new LinksStandin(List.of(new LinkSettings("a", "b", 200_000, 20)));
+		this.server = this.fixture.start(this.links);
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private HttpClient through(String from) {
+		return this.fixture.client(this.links.forward(from, "b", "127.0.0.1", this.service.port()));
+	}
+
+	private static CompletableFuture<HttpResult> send(HttpClient client, byte[] body, int timeoutMillis) {
+		HttpCall call = HttpCall.of("POST", "/order", Duration.ofMillis(timeoutMillis)).header("X-Request-Id", "r1");
+		return client.send(call, body);
+	}
+
+	private static HttpResult get(CompletableFuture<HttpResult> future) throws Exception {
+		return future.get(30, TimeUnit.SECONDS);
+	}
+
+	// Guards against a link that changes bytes, and against one without delay.
+	@Test
+	void delayBytesWithoutChangingThem() throws Exception {
+		long start = System.nanoTime();
+		HttpResult.Answered answer = (HttpResult.Answered) get(send(through("a"), ORDER, 10_000));
+		assertThat(new String(answer.body(), StandardCharsets.UTF_8),
+				equalTo(PlainStandin.answer("POST", "/order", "r1", Digests.of(ORDER))));
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start), greaterThan(38L));
+	}
+
+	// Guards against connections that each get the whole rate of a shared link.
+	@Test
+	void connectionsShareTheRate() throws Exception {
+		long start = System.nanoTime();
+		CompletableFuture<HttpResult> first = send(through("a"), new byte[60_000], 20_000);
+		CompletableFuture<HttpResult> second = send(through("a"), new byte[60_000], 20_000);
+		assertThat(get(first), instanceOf(HttpResult.Answered.class));
+		assertThat(get(second), instanceOf(HttpResult.Answered.class));
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start), greaterThan(580L));
+	}
+
+	// Guards against a cut that leaves connections open or affects other pairs.
+	@Test
+	void cutClosesAndRefusesOnlyThePair() throws Exception {
+		HttpClient cut = through("a");
+		HttpClient other = through("c");
+		get(send(cut, ORDER, 10_000));
+		this.server.fault(StandinFixture.fault("cut").put("from", "b").put("to", "a"));
+		assertThat(get(send(cut, ORDER, 10_000)), instanceOf(HttpResult.Failed.class));
+		assertThat(get(send(other, ORDER, 10_000)), instanceOf(HttpResult.Answered.class));
+		this.server.clearFaults(Optional.empty());
+		assertThat(get(send(cut, ORDER, 10_000)), instanceOf(HttpResult.Answered.class));
+	}
+
+	// Guards against a silent connection that recovers or a new one that is silent too.
+	@Test
+	void silentStopsExistingConnectionsForGood() throws Exception {
+		HttpClient client = through("a");
+		get(send(client, ORDER, 10_000));
+		this.server.fault(StandinFixture.fault("silent").put("from", "a").put("to", "b"));
+		assertThat(get(send(client, ORDER, 500)), instanceOf(HttpResult.Failed.class));
+		assertThat(this.plain.runs().size(), equalTo(1));
+		assertThat(get(send(client, ORDER, 10_000)), instanceOf(HttpResult.Answered.class));
+	}
+
+	// Guards against data that a stall loses.
+	@Test
+	void stallHoldsDataUntilItEnds() throws Exception {
+		HttpClient client = through("a");
+		this.server.fault(StandinFixture.fault("stall").put("from", "*").put("to", "*"));
+		CompletableFuture<HttpResult> answer = send(client, ORDER, 20_000);
+		Thread.sleep(200);
+		assertThat(answer.isDone(), equalTo(false));
+		this.server.clearFaults(Optional.empty());
+		assertThat(get(answer), instanceOf(HttpResult.Answered.class));
+	}
+
+	// Guards against a run that the ledger of a service misses when its answer is lost.
+	@Test
+	void ledgerKeepsRunsWhoseAnswerWasLost() throws Exception {
+		this.service.fault(StandinFixture.fault("lost_answer").put("times", 1));
+		assertThat(get(send(through("a"), ORDER, 10_000)), instanceOf(HttpResult.Failed.class));
+		assertThat(this.plain.runs().get(0).requestId(), equalTo("r1"));
+		assertThat(this.plain.runs().get(0).bodyDigest(), equalTo(Digests.of(ORDER)));
+	}
+
+}
