--- a/standins/src/main/java/org/baobabknot/standin/Call.java
+++ b/standins/src/main/java/org/baobabknot/standin/Call.java
@@ -33,6 +33,8 @@
 
 	private final QueryStringDecoder query;
 
+	private final long arrivedMillis;
+
 	private Runnable closed = () -> {
 	};
 
@@ -40,12 +42,21 @@
 
 	private boolean ended;
 
-	Call(Channel channel, HttpRequest request) {
+	Call(Channel channel, HttpRequest request, long arrivedMillis) {
+		this.arrivedMillis = arrivedMillis;
 		this.channel = channel;
 		this.request = request;
 		this.query = new QueryStringDecoder(request.uri());
 	}
 
+	/**
+	 * Returns when the head of the request arrived, before any fault held it back.
+	 * @return wall time in milliseconds
+	 */
+	public long arrivedMillis() {
+		return this.arrivedMillis;
+	}
+
 	/**
 	 * Returns the method.
 	 * @return the method in upper case
--- a/standins/src/main/java/org/baobabknot/standin/CallHandler.java
+++ b/standins/src/main/java/org/baobabknot/standin/CallHandler.java
@@ -30,6 +30,8 @@
 
 	private boolean holding;
 
+	private long arrivedMillis;
+
 	private boolean control;
 
 	private @Nullable ChannelHandlerContext context;
@@ -62,6 +64,9 @@
 			this.waiting.add(part);
 			return;
 		}
+		if (part instanceof HttpRequest) {
+			this.arrivedMillis = System.currentTimeMillis();
+		}
 		if (part instanceof HttpRequest request && !isControl(request)) {
 			long delay = this.server.faults().find("slow").map((fault) -> fault.path("ms").asLong(0)).orElse(0L);
 			boolean frozen = this.server.faults().isOn("freeze");
@@ -125,7 +130,7 @@
 		if (this.context == null) {
 			return;
 		}
-		Call started = new Call(this.context.channel(), request);
+		Call started = new Call(this.context.channel(), request, this.arrivedMillis);
 		this.call = started;
 		this.control = isControl(request);
 		if (this.control) {
--- a/standins/src/main/java/org/baobabknot/standin/engine/EngineStandin.java
+++ b/standins/src/main/java/org/baobabknot/standin/engine/EngineStandin.java
@@ -152,8 +152,9 @@
 	// Records a request that starts, and crashes when a cold engine runs too many.
 	private boolean started(Run run, int running) {
 		boolean cold = this.health.isCold();
-		this.log.add(new RunLog.Entry(run.requestId(), run.key(), run.bodyDigest(), System.currentTimeMillis(),
-				this.loaded.version(), this.health.incarnation(), running, cold, this.health.coldForMillis()));
+		this.log.add(new RunLog.Entry(run.requestId(), run.key(), run.bodyDigest(), run.call().arrivedMillis(),
+				System.currentTimeMillis(), this.loaded.version(), this.loaded.digest(), this.health.incarnation(),
+				running, cold, this.health.coldForMillis()));
 		if (cold && running > this.settings.coldLimit()) {
 			crash();
 			return false;
--- a/standins/src/main/java/org/baobabknot/standin/plain/PlainStandin.java
+++ b/standins/src/main/java/org/baobabknot/standin/plain/PlainStandin.java
@@ -85,8 +85,9 @@
 		String digest = Digests.of(body);
 		long coldFor = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedNanos);
 		boolean cold = this.settings.coldLimit() > 0 && coldFor < this.settings.coldMillis();
-		this.log.add(new RunLog.Entry(requestId, call.header("Idempotency-Key").orElse(""), digest,
-				System.currentTimeMillis(), "", this.incarnation, this.running, cold, coldFor));
+		this.log
+			.add(new RunLog.Entry(requestId, call.header("Idempotency-Key").orElse(""), digest, call.arrivedMillis(),
+					System.currentTimeMillis(), "", "", this.incarnation, this.running, cold, coldFor));
 		if (cold && this.running > this.settings.coldLimit()) {
 			this.crashes++;
 			kill();
