Add the daemon's main class, operator port, JSON log and registration

Processes register themselves in the platform's member list and mark themselves as leaving at SIGTERM. The agent role is expected as a class org.baobabknot.agent.AgentRole with a constructor that takes the Node; it replaces the placeholder in Baobabknotd.role. SIGTERM is handled by a signal handler, because a shutdown hook runs after the log handlers are closed.

--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
@@ -0,0 +1,140 @@
+package org.baobabknot.daemon;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.baobabknot.entry.EntryRole;
+import org.baobabknot.observe.JsonLines;
+import org.baobabknot.settings.ProcessRole;
+import org.baobabknot.settings.Settings;
+import org.baobabknot.settings.SettingsReader;
+import org.baobabknot.settings.SettingsResult;
+import sun.misc.Signal;
+
+/**
+ * Main class of the entry and agent processes.
+ */
+public final class Baobabknotd {
+
+	private static final int EXIT_FAILED = 1;
+
+	private static final int EXIT_USAGE = 2;
+
+	private Baobabknotd() {
+	}
+
+	/**
+	 * Runs a process until SIGTERM or SIGINT.
+	 * @param arguments command line
+	 */
+	public static void main(String[] arguments) {
+		int status = run(arguments, System.out, System.err);
+		System.out.flush();
+		System.exit(status);
+	}
+
+	/**
+	 * Runs a command line.
+	 * @param arguments command line
+	 * @param out standard output
+	 * @param err standard error
+	 * @return exit status: 0 after a normal end, 1 if the process could not run, 2 for an
+	 * invalid command line or settings file
+	 */
+	static int run(String[] arguments, PrintStream out, PrintStream err) {
+		OptionParser parser = new OptionParser();
+		OptionSpec<String> file = parser.accepts("settings", "settings file of the process")
+			.withRequiredArg()
+			.describedAs("FILE");
+		OptionSpec<Void> check = parser.accepts("check", "check the settings file and exit");
+		OptionSpec<Void> help = parser.accepts("help", "show this text").forHelp();
+		OptionSpec<Void> version = parser.accepts("version", "show the version").forHelp();
+		try {
+			OptionSet options = parser.parse(arguments);
+			if (options.has(help)) {
+				out.println("Usage: baobabknotd --settings FILE [--check]");
+				parser.printHelpOn(out);
+				return 0;
+			}
+			if (options.has(version)) {
+				out.println("baobabknotd " + versionText());
+				return 0;
+			}
+			if (!options.has(file) || !options.nonOptionArguments().isEmpty()) {
+				err.println("expected --settings FILE and no other arguments; see --help");
+				return EXIT_USAGE;
+			}
+			return start(Path.of(options.valueOf(file)), options.has(check), out, err);
+		}
+		catch (OptionException | IOException ex) {
+			err.println(ex.getMessage() + "; see --help");
+			return EXIT_USAGE;
+		}
+	}
+
+	private static int start(Path file, boolean checkOnly, PrintStream out, PrintStream err) {
+		SettingsResult result = SettingsReader.read(file);
+		if (result instanceof SettingsResult.Rejected rejected) {
+			err.println(file + " is not valid:");
+			rejected.errors().forEach((error) -> err.println("  " + error));
+			return EXIT_USAGE;
+		}
+		Settings settings = ((SettingsResult.Accepted) result).settings();
+		if (checkOnly) {
+			out.println(file + " is valid");
+			return 0;
+		}
+		JsonLines.install(settings.instance());
+		try {
+			Daemon daemon = new Daemon(settings, role(settings.role()));
+			return serve(daemon, settings, out);
+		}
+		catch (IOException | CompletionException ex) {
+			err.println("cannot start " + settings.instance() + ": " + ex.getMessage());
+			return EXIT_FAILED;
+		}
+	}
+
+	private static int serve(Daemon daemon, Settings settings, PrintStream out) {
+		CountDownLatch ended = new CountDownLatch(1);
+		// A shutdown hook would run after the log handlers are closed.
+		for (String name : new String[] { "TERM", "INT" }) {
+			Signal.handle(new Signal(name),
+					(signal) -> daemon.drain("SIG" + signal.getName())
+						.completeOnTimeout(null, settings.timeouts().shutdownMs(), TimeUnit.MILLISECONDS)
+						.thenRun(ended::countDown));
+		}
+		daemon.start().join();
+		out.println("listening on " + daemon.address().getPort());
+		out.flush();
+		try {
+			ended.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		daemon.close();
+		return 0;
+	}
+
+	private static Function<Node, Role> role(ProcessRole role) {
+		return (role == ProcessRole.ENTRY) ? EntryRole::new : (node) -> {
+			throw new IllegalStateException("the agent role is not part of this build");
+		};
+	}
+
+	private static String versionText() {
+		String version = Baobabknotd.class.getPackage().getImplementationVersion();
+		return (version != null) ? version : "(development build)";
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/daemon/Daemon.java
@@ -0,0 +1,254 @@
+package org.baobabknot.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Ticker;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.baobabknot.configuration.ConfigurationView;
+import org.baobabknot.gossip.ConnectionEvents;
+import org.baobabknot.gossip.Gossip;
+import org.baobabknot.gossip.MemberSync;
+import org.baobabknot.gossip.PauseGate;
+import org.baobabknot.gossip.Peers;
+import org.baobabknot.gossip.RuleSync;
+import org.baobabknot.gossip.Self;
+import org.baobabknot.gossip.StoreWatch;
+import org.baobabknot.gossip.StreamRouter;
+import org.baobabknot.httpclient.ConnectionHook;
+import org.baobabknot.httpclient.HttpClient;
+import org.baobabknot.httpclient.HttpClientSettings;
+import org.baobabknot.members.HttpMemberList;
+import org.baobabknot.members.ListedMember;
+import org.baobabknot.members.MemberList;
+import org.baobabknot.membership.MembershipView;
+import org.baobabknot.observe.Events;
+import org.baobabknot.observe.OperatorPort;
+import org.baobabknot.protocol.Acceptor;
+import org.baobabknot.protocol.ConnectionSettings;
+import org.baobabknot.protocol.ProtocolCounters;
+import org.baobabknot.security.BearerToken;
+import org.baobabknot.security.TlsContexts;
+import org.baobabknot.settings.ProcessRole;
+import org.baobabknot.settings.Settings;
+import org.baobabknot.store.ConfigurationStore;
+import org.baobabknot.store.HttpConfigurationStore;
+import org.baobabknot.time.HybridClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One running process: the common parts and its role.
+ */
+public final class Daemon {
+
+	private final Settings settings;
+
+	private final EventLoopGroup group;
+
+	private final Node node;
+
+	private final Role role;
+
+	private final Acceptor acceptor;
+
+	private final OperatorPort operatorPort;
+
+	private final Gossip gossip;
+
+	private final OperatorOrders orders;
+
+	private final AtomicReference<@Nullable CompletableFuture<Void>> drained = new AtomicReference<>();
+
+	private volatile @Nullable Registration registration;
+
+	private volatile @Nullable InetSocketAddress address;
+
+	private volatile @Nullable InetSocketAddress operatorAddress;
+
+	/**
+	 * Creates the parts; nothing is bound or called yet.
+	 * @param settings settings of the process
+	 * @param roles creates the role
+	 * @throws IOException if the token or a TLS file cannot be used
+	 */
+	public Daemon(Settings settings, Function<Node, Role> roles) throws IOException {
+		this.settings = settings;
+		this.group = new MultiThreadIoEventLoopGroup(settings.limits().threads(),
+				new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
+		Ticker ticker = Ticker.systemTicker();
+		HybridClock clock = new HybridClock(System::currentTimeMillis);
+		Events events = new Events(clock, settings.instance(), settings.limits().timelineEvents());
+		ConfigurationView configuration = new ConfigurationView();
+		MembershipView membership = new MembershipView();
+		StatusReport report = new StatusReport();
+		long incarnation = incarnation();
+		NodeState local = new NodeState(settings, incarnation, clock, configuration, membership, report);
+		Duration storeTimeout = Duration.ofMillis(settings.timeouts().storeMs());
+		ConfigurationStore store = new HttpConfigurationStore(client(settings.platform().store()), storeTimeout);
+		MemberList list = new HttpMemberList(client(settings.platform().members()), settings.failureDomain(),
+				storeTimeout);
+		StreamRouter streams = new StreamRouter();
+		Peers peers = new Peers();
+		RuleSync rules = new RuleSync(configuration, peers, streams, events, ticker);
+		boolean entry = settings.role() == ProcessRole.ENTRY;
+		MemberSync members = new MemberSync(membership, list, peers, streams, settings.failureDomain(), entry, ticker);
+		Self self = new Self(settings.instance(), settings.failureDomain(), settings.region(), entry);
+		StoreWatch watch = new StoreWatch(store, membership, rules, peers, self, this.group.next(), ticker);
+		PauseGate pauses = new PauseGate(ticker);
+		this.gossip = new Gossip(this.group.next(), rules, members, membership, watch, pauses, peers);
+		SslContext serverTls = (settings.tls().isPresent()) ? TlsContexts.server(settings.tls().get()) : null;
+		SslContext clientTls = (settings.tls().isPresent()) ? TlsContexts.client(settings.tls().get()) : null;
+		ConnectionEvents listener = new ConnectionEvents(streams, peers, rules, members, operatorToken(settings));
+		this.node = new Node(settings, incarnation, clock, ticker, this.group, configuration, membership, store, list,
+				streams, peers, pauses, report, events, new PrometheusRegistry(), local, ConnectionSettings.defaults(),
+				new ProtocolCounters(), clientTls, serverTls, listener, rules::require);
+		this.orders = new OperatorOrders(this.node, this::drain);
+		ProcessMetrics.register(this.node, rules);
+		this.role = roles.apply(this.node);
+		this.acceptor = new Acceptor(this.group, this.node.connections(), local, listener, serverTls,
+				this.node.counters());
+		this.operatorPort = new OperatorPort(this.group, this.node.metrics(), this.role::ready);
+	}
+
+	/**
+	 * Binds the ports and starts the role.
+	 * @return completed when the process runs; exceptionally if a port is taken or the
+	 * role cannot start
+	 */
+	public CompletableFuture<Void> start() {
+		Settings.Address listen = this.settings.listen();
+		Settings.Operator operator = this.settings.operator();
+		return this.acceptor.bind(listen.host(), listen.port()).thenCompose((bound) -> {
+			this.address = bound;
+			return this.operatorPort.bind(operator.host(), operator.port());
+		}).thenCompose((bound) -> {
+			this.operatorAddress = bound;
+			this.gossip.start();
+			return this.role.start();
+		}).thenRun(() -> {
+			this.node.events().record("started", this.settings.role() + " on port " + address().getPort());
+			Registration registering = new Registration(this.node.members(), member(), this.group.next());
+			this.registration = registering;
+			registering.register();
+		});
+	}
+
+	/**
+	 * Marks the instance as leaving and finishes the work that was started.
+	 * @param reason shown on the timeline
+	 * @return completed when nothing is open any more
+	 */
+	public CompletableFuture<Void> drain(String reason) {
+		CompletableFuture<Void> done = new CompletableFuture<>();
+		if (!this.drained.compareAndSet(null, done)) {
+			return this.drained.get();
+		}
+		this.orders.draining();
+		this.node.events().record("draining", reason);
+		Registration registered = this.registration;
+		if (registered != null) {
+			registered.leaving();
+		}
+		this.role.drain(reason).whenComplete((nothing, error) -> {
+			this.node.events().record("drained", (error != null) ? String.valueOf(error) : "nothing is open");
+			done.complete(null);
+		});
+		return done;
+	}
+
+	/**
+	 * Removes the instance from the member list and closes everything.
+	 */
+	public void close() {
+		Registration registered = this.registration;
+		if (registered != null) {
+			registered.remove().completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
+		}
+		this.gossip.close();
+		this.role.close();
+		this.acceptor.close();
+		this.operatorPort.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * The bound process port.
+	 * @return its address
+	 */
+	public InetSocketAddress address() {
+		InetSocketAddress bound = this.address;
+		if (bound == null) {
+			throw new IllegalStateException("not started");
+		}
+		return bound;
+	}
+
+	/**
+	 * The bound operator port.
+	 * @return its address
+	 */
+	public InetSocketAddress operatorAddress() {
+		InetSocketAddress bound = this.operatorAddress;
+		if (bound == null) {
+			throw new IllegalStateException("not started");
+		}
+		return bound;
+	}
+
+	/**
+	 * The parts of the process.
+	 * @return the node
+	 */
+	public Node node() {
+		return this.node;
+	}
+
+	/**
+	 * The role.
+	 * @return the role
+	 */
+	public Role role() {
+		return this.role;
+	}
+
+	private ListedMember member() {
+		boolean entry = this.settings.role() == ProcessRole.ENTRY;
+		return new ListedMember(this.settings.instance(), (entry) ? ListedMember.Role.ENTRY : ListedMember.Role.AGENT,
+				this.settings.failureDomain(), this.settings.region(), this.settings.listen().host(),
+				address().getPort(), this.settings.target().map(Settings.Target::service).orElse(""),
+				ListedMember.State.LIVE);
+	}
+
+	private HttpClient client(URI url) {
+		int port = (url.getPort() > 0) ? url.getPort() : 80;
+		return new HttpClient(this.group, url.getHost(), port, HttpClientSettings.defaults(), ConnectionHook.NONE);
+	}
+
+	private static Predicate<String> operatorToken(Settings settings) throws IOException {
+		if (settings.operator().tokenFile().isEmpty()) {
+			return (token) -> false;
+		}
+		return BearerToken.read(settings.operator().tokenFile().get())::matches;
+	}
+
+	// The start time makes a later process of the instance differ, and the random part
+	// one
+	// that starts after the clock was set back.
+	private static long incarnation() {
+		return (System.currentTimeMillis() << 16) | ThreadLocalRandom.current().nextInt(1 << 16);
+	}
+
+}
--- a/daemon/src/main/java/org/baobabknot/daemon/Node.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Node.java
@@ -7,6 +7,7 @@
 import io.netty.util.concurrent.Ticker;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.baobabknot.configuration.ConfigurationView;
+import org.baobabknot.gossip.ConnectionEvents;
 import org.baobabknot.gossip.PauseGate;
 import org.baobabknot.gossip.Peers;
 import org.baobabknot.gossip.StreamRouter;
@@ -44,13 +45,15 @@
  * @param counters counts of events on connections
  * @param clientTls context of outgoing connections, {@code null} for plain TCP
  * @param serverTls context of accepted connections, {@code null} for plain TCP
+ * @param listener receives the events of connections
  * @param rules pulls of revisions that a peer knows already
  */
 public record Node(Settings settings, long incarnation, HybridClock clock, Ticker ticker, EventLoopGroup group,
 		ConfigurationView configuration, MembershipView membership, ConfigurationStore store, MemberList members,
 		StreamRouter streams, Peers peers, PauseGate pauses, StatusReport report, Events events,
 		PrometheusRegistry metrics, LocalState local, ConnectionSettings connections, ProtocolCounters counters,
-		@Nullable SslContext clientTls, @Nullable SslContext serverTls, RevisionSource rules) {
+		@Nullable SslContext clientTls, @Nullable SslContext serverTls, ConnectionEvents listener,
+		RevisionSource rules) {
 
 	/**
 	 * Current monotonic time.
--- a/daemon/src/main/java/org/baobabknot/gossip/RuleSync.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/RuleSync.java
@@ -67,6 +67,8 @@
 		this.ticker = ticker;
 		streams.on(Frame.BodyCase.RULES_PULL, this::answerPull);
 		streams.on(Frame.BodyCase.RULES_VALUE, this::answerPush);
+		streams.onMessage(Frame.BodyCase.RULES_VALUE, (connection,
+				frame) -> tryAdopt(frame.getRulesValue().getValue().toByteArray(), "push by " + connection.peerName()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gossip/StreamRouter.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/StreamRouter.java
@@ -59,7 +59,8 @@
 
 	void received(Connection connection, Frame frame) {
 		MessageHandler handler = this.messages.get(frame.getBodyCase());
-		if (handler != null && connection.peer().getRole() != Role.OPERATOR) {
+		boolean operator = connection.peer().getRole() == Role.OPERATOR;
+		if (handler != null && (!operator || FOR_OPERATORS.contains(frame.getBodyCase()))) {
 			handler.received(connection, frame);
 		}
 	}
