--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/entry/Problem.java
@@ -0,0 +1,103 @@
+package org.baobabknot.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import org.baobabknot.protocol.generated.RefusalReason;
+
+/**
+ * A problem in the form of RFC 9457.
+ *
+ * @param status HTTP status
+ * @param type last part of the type, after {@code urn:baobabknot:}
+ * @param detail the cause in one line
+ * @param retryAfterMs time after which a repetition may succeed, 0 for none
+ */
+record Problem(HttpResponseStatus status, String type, String detail, long retryAfterMs) {
+
+	static final String CONTENT_TYPE = "application/problem+json";
+
+	private static final long MS_PER_SECOND = 1000;
+
+	private static final long DEFAULT_RETRY_MS = 1000;
+
+	static Problem badRequest(HttpResponseStatus status, String detail) {
+		return new Problem(status, "bad-request", detail, 0);
+	}
+
+	static Problem badRequest(String detail) {
+		return badRequest(HttpResponseStatus.BAD_REQUEST, detail);
+	}
+
+	static Problem unknown(String detail) {
+		return new Problem(HttpResponseStatus.GATEWAY_TIMEOUT, "unknown", detail, 0);
+	}
+
+	static Problem failed(String detail) {
+		return new Problem(HttpResponseStatus.BAD_GATEWAY, "incomplete", detail, 0);
+	}
+
+	/**
+	 * The request was not run.
+	 * @param reason why
+	 * @param detail the cause in one line
+	 * @param retryAfterMs wait asked for by the agent, 0 if it named none
+	 * @return the problem
+	 */
+	static Problem notRun(RefusalReason reason, String detail, long retryAfterMs) {
+		String word = reason.name().toLowerCase(Locale.ROOT).replace("refused_", "").replace('_', '-');
+		long wait = (retryAfterMs > 0) ? retryAfterMs : defaultWait(reason);
+		return new Problem(status(reason), "not-run:" + word, detail, wait);
+	}
+
+	FullHttpResponse response(String requestId) {
+		ObjectNode body = JsonNodeFactory.instance.objectNode();
+		body.put("type", "urn:baobabknot:" + this.type);
+		body.put("title", this.status.reasonPhrase());
+		body.put("status", this.status.code());
+		body.put("detail", this.detail);
+		if (!requestId.isEmpty()) {
+			body.put("instance", requestId);
+		}
+		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, this.status,
+				Unpooled.wrappedBuffer(bytes));
+		response.headers()
+			.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
+			.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+		if (this.retryAfterMs > 0) {
+			long seconds = (this.retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+		}
+		return response;
+	}
+
+	private static HttpResponseStatus status(RefusalReason reason) {
+		return switch (reason) {
+			case WORKSPACE_OVER_SHARE -> HttpResponseStatus.TOO_MANY_REQUESTS;
+			case DEADLINE_PASSED -> HttpResponseStatus.GATEWAY_TIMEOUT;
+			case WORKSPACE_NOT_SERVED -> HttpResponseStatus.FORBIDDEN;
+			case KEY_REUSED -> HttpResponseStatus.UNPROCESSABLE_ENTITY;
+			case KEY_RUNNING, TOMBSTONED -> HttpResponseStatus.CONFLICT;
+			case UNKNOWN_SERVICE -> HttpResponseStatus.NOT_FOUND;
+			case OVERSIZED -> HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+			default -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+		};
+	}
+
+	private static long defaultWait(RefusalReason reason) {
+		return switch (reason) {
+			case WORKSPACE_NOT_SERVED, KEY_REUSED, UNKNOWN_SERVICE, OVERSIZED, DEADLINE_PASSED, TOMBSTONED -> 0;
+			default -> DEFAULT_RETRY_MS;
+		};
+	}
+
+}
