--- a/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
+++ b/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
@@ -87,10 +87,8 @@
 	}
 
 	void report(String agent, Load load) {
-		this.balancer.update(agent,
-				new LoadReport(load.getRunning(), load.getQueued(), load.getLimit(), availability(load),
-						TimeUnit.MICROSECONDS.toNanos(load.getLatencyUs())),
-				this.node.now());
+		this.balancer.update(agent, new LoadReport(load.getRunning(), load.getQueued(), load.getLimit(),
+				availability(load), TimeUnit.MICROSECONDS.toNanos(load.getLatencyUs())), this.node.now());
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/entry/RequestParser.java
+++ b/daemon/src/main/java/org/baobabknot/entry/RequestParser.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
@@ -41,29 +40,6 @@
 		this.configuration = configuration;
 	}
 
-	/**
-	 * Result of a check.
-	 */
-	sealed interface Result {
-
-		/**
-		 * The request may be sent to an agent.
-		 *
-		 * @param request the request
-		 */
-		record Accepted(CallerRequest request) implements Result {
-		}
-
-		/**
-		 * The request is answered with a problem.
-		 *
-		 * @param problem the problem
-		 */
-		record Refused(Problem problem) implements Result {
-		}
-
-	}
-
 	Result parse(HttpRequest head, long nowNanos) {
 		Optional<Problem> malformed = malformed(head);
 		if (malformed.isPresent()) {
@@ -85,8 +61,9 @@
 		}
 		if (!rules.servesWorkspace(service, workspace)) {
 			boolean known = rules.services().contains(service);
-			return (known) ? notRun(RefusalReason.WORKSPACE_NOT_SERVED,
-					"workspace " + shorten(workspace) + " is not served by " + service)
+			return (known)
+					? notRun(RefusalReason.WORKSPACE_NOT_SERVED,
+							"workspace " + shorten(workspace) + " is not served by " + service)
 					: notRun(RefusalReason.UNKNOWN_SERVICE, "no rule names service " + shorten(service));
 		}
 		return accept(head, service, head.uri().substring(slash), workspace, rules, nowNanos);
@@ -180,4 +157,27 @@
 		return (text.length() <= 80) ? text : text.substring(0, 80) + "...";
 	}
 
+	/**
+	 * Result of a check.
+	 */
+	sealed interface Result {
+
+		/**
+		 * The request may be sent to an agent.
+		 *
+		 * @param request the request
+		 */
+		record Accepted(CallerRequest request) implements Result {
+		}
+
+		/**
+		 * The request is answered with a problem.
+		 *
+		 * @param problem the problem
+		 */
+		record Refused(Problem problem) implements Result {
+		}
+
+	}
+
 }
