--- a/core/src/main/java/org/baobabknot/rollout/RolloutView.java
+++ b/core/src/main/java/org/baobabknot/rollout/RolloutView.java
@@ -113,6 +113,29 @@
 		return new RolloutDelta(this.stamp, any ? changed : List.of());
 	}
 
+	/**
+	 * Returns the key of the rollout that the rules ask for. Processes that skipped
+	 * revisions know another epoch for the same version; the highest one that is covered
+	 * by the own revision wins, so all agree once they have the same revision.
+	 * @param version the version asked for
+	 * @param revision the rules revision in force
+	 * @return the key to announce
+	 */
+	public synchronized RolloutKey keyFor(String version, long revision) {
+		RolloutKey own = own().key();
+		if (!own.version().equals(version)) {
+			return new RolloutKey(version, revision);
+		}
+		long epoch = own.epoch();
+		for (Row row : this.rows.values()) {
+			RolloutKey key = row.entry.key();
+			if (key.version().equals(version) && key.epoch() <= revision) {
+				epoch = Math.max(epoch, key.epoch());
+			}
+		}
+		return new RolloutKey(version, epoch);
+	}
+
 	/**
 	 * Removes an agent that has left the member list.
 	 * @param instance the agent
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/simulation/Schedules.java
@@ -0,0 +1,42 @@
+package org.baobabknot.simulation;
+
+import java.util.function.LongFunction;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.LongStream;
+
+/**
+ * Runs seeded schedules and reports the seed of the first one that fails.
+ */
+public final class Schedules {
+
+	/** Schedules for each mechanism. */
+	public static final int COUNT = 10_000;
+
+	private Schedules() {
+	}
+
+	/**
+	 * Creates a generator.
+	 * @param seed the seed
+	 * @return the generator
+	 */
+	public static RandomGenerator random(long seed) {
+		return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+	}
+
+	/**
+	 * Runs all schedules.
+	 * @param schedule runs one seed and returns what went wrong, or an empty text
+	 */
+	public static void run(LongFunction<String> schedule) {
+		String faults = LongStream.range(0, COUNT).parallel().mapToObj((seed) -> {
+			String fault = schedule.apply(seed);
+			return fault.isEmpty() ? "" : "seed " + seed + ": " + fault;
+		}).filter((fault) -> !fault.isEmpty()).limit(3).reduce("", (left, right) -> left + "\n" + right);
+		if (!faults.isEmpty()) {
+			throw new AssertionError(faults);
+		}
+	}
+
+}
