--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ControlClient.java
@@ -0,0 +1,77 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Calls the control paths of stand-ins and the operator ports of processes. These calls
+ * are not part of the measured traffic.
+ */
+public final class ControlClient {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(Duration.ofSeconds(2))
+		.build();
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	/**
+	 * Reads a JSON value.
+	 * @param url the URL
+	 * @return the answer
+	 * @throws IOException when there is no answer with status 200
+	 * @throws InterruptedException when interrupted
+	 */
+	public JsonNode get(String url) throws IOException, InterruptedException {
+		return this.mapper.readTree(text(HttpRequest.newBuilder(URI.create(url)).timeout(TIMEOUT).GET().build()));
+	}
+
+	/**
+	 * Reads a text.
+	 * @param url the URL
+	 * @return the answer
+	 * @throws IOException when there is no answer with status 200
+	 * @throws InterruptedException when interrupted
+	 */
+	public String getText(String url) throws IOException, InterruptedException {
+		return text(HttpRequest.newBuilder(URI.create(url)).timeout(TIMEOUT).GET().build());
+	}
+
+	/**
+	 * Sends a JSON value.
+	 * @param method the HTTP method
+	 * @param url the URL
+	 * @param body the value
+	 * @return the answer
+	 * @throws IOException when there is no answer with status 200
+	 * @throws InterruptedException when interrupted
+	 */
+	public JsonNode send(String method, String url, JsonNode body) throws IOException, InterruptedException {
+		String answer = text(HttpRequest.newBuilder(URI.create(url))
+			.timeout(TIMEOUT)
+			.header("Content-Type", "application/json")
+			.method(method, HttpRequest.BodyPublishers.ofString(body.toString()))
+			.build());
+		return answer.isEmpty() ? this.mapper.createObjectNode() : this.mapper.readTree(answer);
+	}
+
+	private String text(HttpRequest request) throws IOException, InterruptedException {
+		HttpResponse<String> answer = this.client.send(request, HttpResponse.BodyHandlers.ofString());
+		if (answer.statusCode() / 100 != 2) {
+			throw new IOException(
+					request.method() + " " + request.uri() + ": status " + answer.statusCode() + " " + answer.body());
+		}
+		return answer.body();
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -0,0 +1,363 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A running fleet: one process with all stand-ins and one process for each entry and
+ * agent, on loopback. The launcher of the context ends them.
+ */
+public final class Fleet {
+
+	/** Version of the model that the rules name at the start. */
+	public static final String FIRST_VERSION = "v1";
+
+	private static final String STANDIN_MAIN = "org.baobabknot.standin.StandinProgram";
+
+	private static final String DAEMON_MAIN = "org.baobabknot.daemon.Baobabknotd";
+
+	private static final String TOKEN = "operator-token-of-this-run";
+
+	// Starting 30 Java processes on a busy machine takes several seconds.
+	private static final long START_MILLIS = 60_000;
+
+	private final ExperimentContext context;
+
+	private final FleetPlan plan;
+
+	private final FleetOptions options;
+
+	private final ControlClient control = new ControlClient();
+
+	private final Map<String, LaunchedProcess> processes = new ConcurrentHashMap<>();
+
+	private final Map<String, Path> settings = new ConcurrentHashMap<>();
+
+	private final Map<String, String> digests = new ConcurrentHashMap<>();
+
+	private final Map<String, String> manifests = new ConcurrentHashMap<>();
+
+	private final OperatorTool tool;
+
+	private Fleet(ExperimentContext context, Deployment deployment, FleetOptions options) {
+		this.context = context;
+		this.options = options;
+		this.plan = new FleetPlan(deployment, options);
+		this.tool = new OperatorTool(context.launcher(), context.launcher().folder().resolve("baobabknotctl.json"));
+	}
+
+	/**
+	 * Starts a fleet and waits until its entries are ready. No rules are applied.
+	 * @param context the launcher and the progress output
+	 * @param deployment sizes, rates and delays
+	 * @param options how to run it
+	 * @return the running fleet
+	 * @throws IOException when a stand-in does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public static Fleet start(ExperimentContext context, Deployment deployment, FleetOptions options)
+			throws IOException, InterruptedException {
+		Fleet fleet = new Fleet(context, deployment, options);
+		fleet.startStandins();
+		fleet.writeSettings();
+		for (Deployment.Instance instance : deployment.instances()) {
+			fleet.startProcess(instance.name());
+		}
+		fleet.awaitHealthy();
+		return fleet;
+	}
+
+	private void startStandins() throws IOException, InterruptedException {
+		Path file = this.context.launcher().writeJson("standins.json", this.plan.standinSettings(this.options.seed()));
+		LaunchedProcess process = this.context.launcher()
+			.start("standins", STANDIN_MAIN, List.of("-Xmx1g", "-XX:TieredStopAtLevel=4", "-XX:CICompilerCount=3"),
+					List.of("--settings", file.toString()));
+		this.processes.put("standins", process);
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+		while (!process.logText().contains("\"ports\"")) {
+			if (!process.alive() || System.nanoTime() - end > 0) {
+				throw new IOException("stand-ins did not start: " + process.logText());
+			}
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+		JsonNode manifest = this.control.get(url(FleetPlan.ORIGIN) + "/v1/models/"
+				+ this.plan.deployment().modelService().name() + "/" + FIRST_VERSION + "/manifest");
+		remember(manifest);
+	}
+
+	private void writeSettings() throws IOException, InterruptedException {
+		ProcessLauncher launcher = this.context.launcher();
+		launcher.writeText("token", TOKEN);
+		List<Deployment.Instance> instances = this.plan.deployment().instances();
+		launcher.writeJson("baobabknotctl.json", toolSettings());
+		if (this.options.tls()) {
+			List<String> arguments = new ArrayList<>(List.of("keys", launcher.folder().resolve("keys").toString()));
+			instances.forEach((instance) -> arguments.add(instance.name()));
+			arguments.add("operator");
+			this.tool.run(arguments).orFail();
+		}
+		Map<String, Map<String, String>> platforms = new TreeMap<>();
+		for (Deployment.Domain domain : this.plan.deployment().domains()) {
+			platforms.put(domain.name(), platform(domain));
+		}
+		for (Deployment.Instance instance : instances) {
+			route(instance);
+			Map<String, String> platform = platforms.getOrDefault(instance.domain().name(), Map.of());
+			this.settings.put(instance.name(),
+					launcher.writeJson(instance.name() + ".json", this.plan.processSettings(instance, platform)));
+		}
+	}
+
+	private ObjectNode toolSettings() {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		node.put("store", url(FleetPlan.STORE)).put("origin", url(FleetPlan.ORIGIN)).put("who", "quickstart");
+		node.put("tokenFile", this.context.launcher().folder().resolve("token").toString());
+		for (Deployment.Instance instance : this.plan.deployment().instances()) {
+			if (instance.entry()) {
+				node.withArray("processes").add("127.0.0.1:" + this.plan.ports(instance.name()).process());
+			}
+		}
+		if (this.options.tls()) {
+			Path keys = this.context.launcher().folder().resolve("keys");
+			node.putObject("tls")
+				.put("certificate", keys.resolve("operator.pem").toString())
+				.put("key", keys.resolve("operator.key").toString())
+				.put("authorities", keys.resolve("authorities.pem").toString());
+		}
+		return node;
+	}
+
+	private Map<String, String> platform(Deployment.Domain domain) throws IOException, InterruptedException {
+		Deployment.Domain home = this.plan.deployment().domains().get(0);
+		Map<String, String> urls = new TreeMap<>();
+		for (String name : List.of(FleetPlan.STORE, FleetPlan.MEMBERS, FleetPlan.ORIGIN)) {
+			String url = url(name);
+			urls.put(name, domain.equals(home) ? url : "http://127.0.0.1:"
+					+ forwarder(domain.name(), home.name(), Integer.parseInt(url.substring(url.lastIndexOf(':') + 1))));
+		}
+		return urls;
+	}
+
+	// The other failure domains reach the instance over their links.
+	private void route(Deployment.Instance instance) throws IOException, InterruptedException {
+		int port = this.plan.ports(instance.name()).process();
+		ObjectNode viewers = JsonNodeFactory.instance.objectNode();
+		for (Deployment.Domain viewer : this.plan.deployment().domains()) {
+			if (!viewer.equals(instance.domain())) {
+				viewers.putObject(viewer.name())
+					.put("host", "127.0.0.1")
+					.put("port", forwarder(viewer.name(), instance.domain().name(), port));
+			}
+		}
+		this.control.send("PUT", url(FleetPlan.MEMBERS) + "/v1/routes/" + instance.name(), viewers);
+	}
+
+	private int forwarder(String from, String to, int port) throws IOException, InterruptedException {
+		ObjectNode body = JsonNodeFactory.instance.objectNode()
+			.put("from", from)
+			.put("to", to)
+			.put("host", "127.0.0.1")
+			.put("port", port);
+		return this.control.send("PUT", url(FleetPlan.LINKS) + "/v1/forwarders", body).path("port").asInt();
+	}
+
+	/**
+	 * Starts the process of an instance, also again after it has ended.
+	 * @param instance the instance
+	 * @return the process
+	 */
+	public LaunchedProcess startProcess(String instance) {
+		LaunchedProcess process = this.context.launcher()
+			.start(instance, DAEMON_MAIN, List.of("-Xmx" + this.options.heapMegabytes() + "m"),
+					List.of("--settings", String.valueOf(this.settings.get(instance))));
+		this.processes.put(instance, process);
+		return process;
+	}
+
+	private void awaitHealthy() throws IOException, InterruptedException {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+		for (Deployment.Instance instance : this.plan.deployment().instances()) {
+			while (!healthy(instance)) {
+				LaunchedProcess process = process(instance.name());
+				if (!process.alive() || System.nanoTime() - end > 0) {
+					throw new IOException(instance.name() + " did not start: " + process.logText());
+				}
+				TimeUnit.MILLISECONDS.sleep(50);
+			}
+		}
+	}
+
+	private boolean healthy(Deployment.Instance instance) throws InterruptedException {
+		int port = this.plan.ports(instance.name()).operator();
+		try {
+			this.control.getText("http://127.0.0.1:" + port + "/healthz");
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Publishes a model version at the origin.
+	 * @param version the version
+	 * @param seed seed of its content
+	 * @throws IOException when the origin does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public void publish(String version, long seed) throws IOException, InterruptedException {
+		Deployment.Model model = this.plan.deployment().model();
+		ObjectNode body = JsonNodeFactory.instance.objectNode()
+			.put("seed", seed)
+			.put("size", model.bytes())
+			.put("chunk_size", model.chunkBytes());
+		remember(this.control.send("PUT",
+				url(FleetPlan.ORIGIN) + "/v1/models/" + this.plan.deployment().modelService().name() + "/" + version,
+				body));
+	}
+
+	private void remember(JsonNode manifest) {
+		this.digests.put(manifest.path("version").asText(), manifest.path("whole_digest").asText());
+	}
+
+	/**
+	 * Returns the manifest digest of a published version, as the operator tool prints it.
+	 * @param version the version
+	 * @return the digest for a rule
+	 */
+	public String manifestDigest(String version) {
+		return this.manifests.computeIfAbsent(version,
+				(key) -> this.tool.run("manifest", this.plan.deployment().modelService().name(), key)
+					.orFail()
+					.path("digest")
+					.asText());
+	}
+
+	/**
+	 * Returns the digests of the whole bytes by version, for checks of answers.
+	 * @return a live map
+	 */
+	public Map<String, String> digests() {
+		return this.digests;
+	}
+
+	/**
+	 * Returns the deployment.
+	 * @return sizes, rates and delays
+	 */
+	public Deployment deployment() {
+		return this.plan.deployment();
+	}
+
+	/**
+	 * Returns the operator tool with the settings of this fleet.
+	 * @return the tool
+	 */
+	public OperatorTool tool() {
+		return this.tool;
+	}
+
+	/**
+	 * Returns the caller addresses of all entries.
+	 * @return the addresses
+	 */
+	public List<InetSocketAddress> callerAddresses() {
+		return this.plan.deployment()
+			.instances()
+			.stream()
+			.filter(Deployment.Instance::entry)
+			.map((instance) -> callerAddress(instance.name()))
+			.toList();
+	}
+
+	/**
+	 * Returns the caller address of an entry.
+	 * @param entry the instance
+	 * @return the address
+	 */
+	public InetSocketAddress callerAddress(String entry) {
+		return new InetSocketAddress("127.0.0.1", this.plan.ports(entry).http());
+	}
+
+	/**
+	 * Returns the address of a target.
+	 * @param instance the instance of its agent
+	 * @return the address
+	 */
+	public InetSocketAddress targetAddress(String instance) {
+		return new InetSocketAddress("127.0.0.1", this.plan.ports(instance).target());
+	}
+
+	/**
+	 * Returns a process.
+	 * @param instance the instance, or {@code standins}
+	 * @return the last process started for it
+	 */
+	public LaunchedProcess process(String instance) {
+		LaunchedProcess process = this.processes.get(instance);
+		if (process == null) {
+			throw new IllegalArgumentException("no process " + instance);
+		}
+		return process;
+	}
+
+	/**
+	 * Returns the metrics of a process.
+	 * @param instance the instance
+	 * @return the text of {@code /metrics}
+	 * @throws IOException when the process does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public String metrics(String instance) throws IOException, InterruptedException {
+		return this.control.getText("http://127.0.0.1:" + this.plan.ports(instance).operator() + "/metrics");
+	}
+
+	/**
+	 * Returns what a stand-in received.
+	 * @param standin {@code store}, {@code members}, {@code origin}, {@code links} or the
+	 * instance of a target
+	 * @return its record
+	 * @throws IOException when it does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public JsonNode record(String standin) throws IOException, InterruptedException {
+		return this.control.get(url(standin) + "/record");
+	}
+
+	/**
+	 * Switches a fault of a stand-in on.
+	 * @param standin as for {@link #record}
+	 * @param fault the fault
+	 * @throws IOException when it does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public void fault(String standin, JsonNode fault) throws IOException, InterruptedException {
+		this.control.send("POST", url(standin) + "/fault", fault);
+	}
+
+	/**
+	 * Switches all faults of a stand-in off.
+	 * @param standin as for {@link #record}
+	 * @throws IOException when it does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public void clearFaults(String standin) throws IOException, InterruptedException {
+		this.control.send("DELETE", url(standin) + "/fault", JsonNodeFactory.instance.objectNode());
+	}
+
+	private String url(String standin) {
+		return this.plan.standinUrl(standin);
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FleetOptions.java
@@ -0,0 +1,49 @@
+package org.baobabknot.experiment;
+
+/**
+ * How to run a fleet.
+ *
+ * @param tls whether the processes use mutual TLS between each other
+ * @param threads event loops of each process
+ * @param heapMegabytes largest heap of each process
+ * @param balancerLagMillis time for which the balancer still sends to a leaving entry
+ * @param seed seed of the content of the first model version
+ */
+public record FleetOptions(boolean tls, int threads, int heapMegabytes, int balancerLagMillis, long seed) {
+
+	/**
+	 * Returns options for about 30 processes on one machine.
+	 * @return plain TCP, one event loop and 64 MB each
+	 */
+	public static FleetOptions small() {
+		return new FleetOptions(false, 1, 64, 1_500, 1);
+	}
+
+	/**
+	 * Returns these options with mutual TLS.
+	 * @return a changed copy
+	 */
+	public FleetOptions withTls() {
+		return new FleetOptions(true, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed);
+	}
+
+	/**
+	 * Returns these options with another seed.
+	 * @param changed the seed
+	 * @return a changed copy
+	 */
+	public FleetOptions withSeed(long changed) {
+		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, changed);
+	}
+
+	/**
+	 * Returns these options with another number of event loops and heap.
+	 * @param loops event loops of each process
+	 * @param megabytes largest heap of each process
+	 * @return a changed copy
+	 */
+	public FleetOptions withSize(int loops, int megabytes) {
+		return new FleetOptions(this.tls, loops, megabytes, this.balancerLagMillis, this.seed);
+	}
+
+}
