Add the quick start

It starts a whole deployment as separate processes with mutual TLS, applies rules with baobabknotctl, sends completions and orders in the background, rolls out a second version, takes a failure domain out and back, and compares everything with the targets' own records. It needs the agent role, which is not there yet; so far it has only been compiled.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -68,7 +68,8 @@
 	}
 
 	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output, PrintStream progress) {
-		try (ProcessLauncher launcher = ProcessLauncher.forRepository()) {
+		ProcessLauncher launcher = ProcessLauncher.forRepository();
+		try (launcher) {
 			if (options.has("keep-logs")) {
 				launcher.keepFolder();
 				progress.println("settings and logs: " + launcher.folder());
@@ -78,7 +79,9 @@
 			return outcome.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
-			ex.printStackTrace(progress);
+			if (!launcher.closing()) {
+				ex.printStackTrace(progress);
+			}
 			return FAILED;
 		}
 	}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -39,11 +39,11 @@
 
 	private final List<LaunchedProcess> processes = new ArrayList<>();
 
-	private final Thread endAll = new Thread(this::stopAll, "end-processes");
+	private final Thread endAll = new Thread(this::endAll, "end-processes");
 
 	private boolean closing;
 
-	private boolean keepFolder;
+	private volatile boolean keepFolder;
 
 	/**
 	 * Creates a launcher with a new temporary folder.
@@ -223,8 +223,28 @@
 
 	@Override
 	public void close() {
+		try {
+			Runtime.getRuntime().removeShutdownHook(this.endAll);
+		}
+		catch (IllegalStateException ex) {
+			// This process is ending already; the hook ends the processes.
+			return;
+		}
+		endAll();
+	}
+
+	/**
+	 * Tells whether the processes are being ended.
+	 * @return true after {@link #stopAll} has begun
+	 */
+	public boolean closing() {
+		synchronized (this.processes) {
+			return this.closing;
+		}
+	}
+
+	private void endAll() {
 		stopAll();
-		Runtime.getRuntime().removeShutdownHook(this.endAll);
 		if (!this.keepFolder) {
 			deleteFolder();
 		}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/TargetRecords.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/TargetRecords.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.baobabknot.weights.Digests;
@@ -47,12 +48,35 @@
 	 * @return the number of requests that its targets began
 	 */
 	public long begun(String domain, long fromMillis, long toMillis) {
+		return starts(domain).filter((at) -> at >= fromMillis && at < toMillis).count();
+	}
+
+	/**
+	 * Returns when a failure domain began its last request of a period.
+	 * @param domain the failure domain
+	 * @param fromMillis first moment, milliseconds since the epoch
+	 * @param toMillis the moment after the last
+	 * @return milliseconds since the epoch, or -1 when it began none
+	 */
+	public long lastBegun(String domain, long fromMillis, long toMillis) {
+		return starts(domain).filter((at) -> at >= fromMillis && at < toMillis).max().orElse(-1);
+	}
+
+	/**
+	 * Returns when a failure domain began its first request after a moment.
+	 * @param domain the failure domain
+	 * @param fromMillis the moment, milliseconds since the epoch
+	 * @return milliseconds since the epoch, or -1 when it began none
+	 */
+	public long firstBegun(String domain, long fromMillis) {
+		return starts(domain).filter((at) -> at >= fromMillis).min().orElse(-1);
+	}
+
+	private LongStream starts(String domain) {
 		return this.targets.stream()
 			.filter((target) -> target.instance().domain().name().equals(domain))
 			.flatMap((target) -> target.requests().stream())
-			.filter((request) -> request.path("at_ms").asLong() >= fromMillis
-					&& request.path("at_ms").asLong() < toMillis)
-			.count();
+			.mapToLong((request) -> request.path("at_ms").asLong());
 	}
 
 	/**
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/load/OrderCaller.java
@@ -0,0 +1,73 @@
+package org.baobabknot.load;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends orders as a careful caller does: an order refused as not run is sent again, an
+ * order without a definite answer is sent again only with an idempotency key.
+ */
+public final class OrderCaller {
+
+	private static final int ATTEMPTS = 12;
+
+	private static final long PAUSE_MILLIS = 500;
+
+	private static final Executor LATER = CompletableFuture.delayedExecutor(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+
+	private final LoadGenerator generator;
+
+	private final Map<String, Order> orders = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a caller.
+	 * @param generator sends the attempts and reports each
+	 */
+	public OrderCaller(LoadGenerator generator) {
+		this.generator = generator;
+	}
+
+	/**
+	 * Sends an order and repeats it as far as that is safe.
+	 * @param order the order
+	 * @return completed at the end of the last attempt
+	 */
+	public CompletableFuture<Void> send(LoadRequest order) {
+		return attempt(order, 1);
+	}
+
+	private CompletableFuture<Void> attempt(LoadRequest order, int number) {
+		return this.generator.send(order, System.nanoTime()).thenCompose((answer) -> {
+			LoadOutcome outcome = LoadOutcome.of(order, answer);
+			this.orders.put(order.id(), new Order(order, outcome));
+			boolean repeat = outcome == LoadOutcome.REFUSED
+					|| (outcome != LoadOutcome.WHOLE && order.headers().containsKey("Idempotency-Key"));
+			if (!repeat || number >= ATTEMPTS) {
+				return CompletableFuture.completedFuture(null);
+			}
+			return CompletableFuture.supplyAsync(() -> null, LATER)
+				.thenCompose((nothing) -> attempt(order, number + 1));
+		});
+	}
+
+	/**
+	 * Returns the orders with their last outcome.
+	 * @return orders by id
+	 */
+	public Map<String, Order> orders() {
+		return Map.copyOf(this.orders);
+	}
+
+	/**
+	 * An order.
+	 *
+	 * @param request the request
+	 * @param outcome outcome of the last attempt
+	 */
+	public record Order(LoadRequest request, LoadOutcome outcome) {
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/quickstart/Summary.java
@@ -0,0 +1,88 @@
+package org.baobabknot.quickstart;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The four lines printed at the end.
+ *
+ * @param requests completions
+ * @param orders orders
+ * @param model the rollout
+ * @param domain the failure domain that was out
+ */
+record Summary(Requests requests, Orders orders, Model model, Domain domain) {
+
+	List<String> lines() {
+		return List.of(
+				"requests: %d sent, %d whole, %d refused, %d wrong, %d lost".formatted(this.requests.sent(),
+						this.requests.whole(), this.requests.refused(), this.requests.wrong(), this.requests.lost()),
+				"orders: %d sent, %d run, %d doubled, %d lost".formatted(this.orders.sent(), this.orders.run(),
+						this.orders.doubled(), this.orders.lost()),
+				String.format(Locale.ROOT, "model: %s on %d/%d replicas in %.1f s, %.2f copies from the origin",
+						this.model.version(), this.model.replicas(), this.model.of(), this.model.seconds(),
+						this.model.copies()),
+				String.format(Locale.ROOT, "domain: out in %.1f s, back in %.1f s, %d late requests",
+						this.domain.outSeconds(), this.domain.backSeconds(), this.domain.late()));
+	}
+
+	/**
+	 * Tells whether the run is a success.
+	 * @return true when nothing was wrong, lost, doubled or late, every replica runs the
+	 * model and the failure domain came back
+	 */
+	boolean held() {
+		boolean requestsHeld = this.requests.whole() > 0 && this.requests.wrong() == 0 && this.requests.lost() == 0;
+		boolean ordersHeld = this.orders.run() > 0 && this.orders.doubled() == 0 && this.orders.lost() == 0;
+		boolean modelHeld = this.model.of() > 0 && this.model.replicas() == this.model.of();
+		return requestsHeld && ordersHeld && modelHeld && this.domain.late() == 0 && this.domain.backSeconds() >= 0;
+	}
+
+	/**
+	 * Completions.
+	 *
+	 * @param sent requests sent
+	 * @param whole whole and right answers
+	 * @param refused refused as not run
+	 * @param wrong whole and not right
+	 * @param lost neither answered whole nor refused
+	 */
+	record Requests(int sent, int whole, int refused, int wrong, int lost) {
+	}
+
+	/**
+	 * Orders.
+	 *
+	 * @param sent orders, each counted once
+	 * @param run orders in the targets' ledgers, each counted once
+	 * @param doubled orders that stand in the ledgers more than once, or once although
+	 * the last answer said that they were not run
+	 * @param lost orders acknowledged and not in the ledgers, or of unknown outcome
+	 */
+	record Orders(int sent, int run, int doubled, int lost) {
+	}
+
+	/**
+	 * Rollout.
+	 *
+	 * @param version the new version
+	 * @param replicas replicas that run it
+	 * @param of all replicas
+	 * @param seconds time from acceptance of the rule to the last replica
+	 * @param copies bytes fetched from the origin, in copies of the model
+	 */
+	record Model(String version, int replicas, int of, double seconds, double copies) {
+	}
+
+	/**
+	 * Failure domain.
+	 *
+	 * @param outSeconds time from acceptance to the last request begun in the domain
+	 * @param backSeconds time from acceptance to the first request begun in the domain,
+	 * negative when there was none
+	 * @param late requests begun in the domain more than 3 s after acceptance
+	 */
+	record Domain(double outSeconds, double backSeconds, long late) {
+	}
+
+}
