Add the latency experiment

The target is called directly, through the agent over the process protocol, and through entry and agent, in turns of one run, so that the share of each hop is the difference of medians. Not run yet: the agent role is still missing.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -29,6 +29,8 @@
 
 	private static final String TOKEN = "operator-token-of-this-run";
 
+	private static final List<String> OPTIMIZER = List.of("-XX:TieredStopAtLevel=4", "-XX:CICompilerCount=3");
+
 	// Starting 30 Java processes on a busy machine takes several seconds.
 	private static final long START_MILLIS = 60_000;
 
@@ -81,7 +83,7 @@
 	private void startStandins() throws IOException, InterruptedException {
 		Path file = this.context.launcher().writeJson("standins.json", this.plan.standinSettings(this.options.seed()));
 		LaunchedProcess process = this.context.launcher()
-			.start("standins", STANDIN_MAIN, List.of("-Xmx1g", "-XX:TieredStopAtLevel=4", "-XX:CICompilerCount=3"),
+			.start("standins", STANDIN_MAIN, List.of("-Xmx1g", OPTIMIZER.get(0), OPTIMIZER.get(1)),
 					List.of("--settings", file.toString()));
 		this.processes.put("standins", process);
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
@@ -178,9 +180,12 @@
 	 * @return the process
 	 */
 	public LaunchedProcess startProcess(String instance) {
+		List<String> machine = new ArrayList<>(List.of("-Xmx" + this.options.heapMegabytes() + "m"));
+		if (this.options.optimized()) {
+			machine.addAll(OPTIMIZER);
+		}
 		LaunchedProcess process = this.context.launcher()
-			.start(instance, DAEMON_MAIN, List.of("-Xmx" + this.options.heapMegabytes() + "m"),
-					List.of("--settings", String.valueOf(this.settings.get(instance))));
+			.start(instance, DAEMON_MAIN, machine, List.of("--settings", String.valueOf(this.settings.get(instance))));
 		this.processes.put(instance, process);
 		return process;
 	}
@@ -299,6 +304,15 @@
 		return new InetSocketAddress("127.0.0.1", this.plan.ports(instance).target());
 	}
 
+	/**
+	 * Returns the process port of an instance.
+	 * @param instance the instance
+	 * @return the port on 127.0.0.1
+	 */
+	public int processPort(String instance) {
+		return this.plan.ports(instance).process();
+	}
+
 	/**
 	 * Returns a process.
 	 * @param instance the instance, or {@code standins}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FleetOptions.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FleetOptions.java
@@ -8,15 +8,18 @@
  * @param heapMegabytes largest heap of each process
  * @param balancerLagMillis time for which the balancer still sends to a leaving entry
  * @param seed seed of the content of the first model version
+ * @param optimized whether the processes use the optimizing compiler, which costs CPU
+ * time at the start and is needed to measure speed
  */
-public record FleetOptions(boolean tls, int threads, int heapMegabytes, int balancerLagMillis, long seed) {
+public record FleetOptions(boolean tls, int threads, int heapMegabytes, int balancerLagMillis, long seed,
+		boolean optimized) {
 
 	/**
 	 * Returns options for about 30 processes on one machine.
 	 * @return plain TCP, one event loop and 64 MB each
 	 */
 	public static FleetOptions small() {
-		return new FleetOptions(false, 1, 64, 1_500, 1);
+		return new FleetOptions(false, 1, 64, 1_500, 1, false);
 	}
 
 	/**
@@ -24,7 +27,8 @@
 	 * @return a changed copy
 	 */
 	public FleetOptions withTls() {
-		return new FleetOptions(true, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed);
+		return new FleetOptions(true, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed,
+				this.optimized);
 	}
 
 	/**
@@ -33,7 +37,8 @@
 	 * @return a changed copy
 	 */
 	public FleetOptions withSeed(long changed) {
-		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, changed);
+		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, changed,
+				this.optimized);
 	}
 
 	/**
@@ -43,7 +48,15 @@
 	 * @return a changed copy
 	 */
 	public FleetOptions withSize(int loops, int megabytes) {
-		return new FleetOptions(this.tls, loops, megabytes, this.balancerLagMillis, this.seed);
+		return new FleetOptions(this.tls, loops, megabytes, this.balancerLagMillis, this.seed, this.optimized);
+	}
+
+	/**
+	 * Returns these options with the optimizing compiler.
+	 * @return a changed copy
+	 */
+	public FleetOptions withOptimizer() {
+		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed, true);
 	}
 
 }
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -10,6 +10,9 @@
  */
 public enum Subcommands {
 
+	/** Latency added by entry and agent. */
+	LATENCY("measures the latency that entry and agent add to a target", LatencyExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
 
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/load/AgentCaller.java
@@ -0,0 +1,164 @@
+package org.baobabknot.load;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.baobabknot.protocol.ConnectResult;
+import org.baobabknot.protocol.Connection;
+import org.baobabknot.protocol.ConnectionListener;
+import org.baobabknot.protocol.ConnectionSettings;
+import org.baobabknot.protocol.Connector;
+import org.baobabknot.protocol.Failure;
+import org.baobabknot.protocol.FrameHandler;
+import org.baobabknot.protocol.LocalState;
+import org.baobabknot.protocol.ProtocolCounters;
+import org.baobabknot.protocol.Stream;
+import org.baobabknot.protocol.generated.BodyEnd;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Header;
+import org.baobabknot.protocol.generated.Hello;
+import org.baobabknot.protocol.generated.Knowledge;
+import org.baobabknot.protocol.generated.RequestStart;
+import org.baobabknot.protocol.generated.Role;
+
+/**
+ * Sends requests to an agent over the process protocol, as an entry does. By it the
+ * latency added by an agent is told from that added by an entry.
+ */
+public final class AgentCaller implements RequestSender, AutoCloseable {
+
+	private static final int TIMEOUT_MILLIS = 20_000;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final Random random = new Random();
+
+	private final Connection connection;
+
+	/**
+	 * Connects to an agent without TLS.
+	 * @param host host of the agent
+	 * @param port its process port
+	 */
+	public AgentCaller(String host, int port) {
+		Connector connector = new Connector(this.group, ConnectionSettings.defaults(), new EntryState(), null,
+				new ProtocolCounters());
+		ConnectResult result = connector.connect(host, port, new ConnectionListener() {
+		}).join();
+		if (!(result instanceof ConnectResult.Connected connected)) {
+			throw new IllegalStateException(result.toString());
+		}
+		this.connection = connected.connection();
+	}
+
+	@Override
+	public CompletableFuture<Answer> send(LoadRequest request) {
+		int slash = request.path().indexOf('/', 1);
+		byte[] id = new byte[16];
+		this.random.nextBytes(id);
+		RequestStart.Builder start = RequestStart.newBuilder()
+			.setRequestId(ByteString.copyFrom(id))
+			.setService(request.path().substring(1, slash))
+			.setPath(request.path().substring(slash))
+			.setMethod(request.method())
+			.setWorkspace(request.headers().getOrDefault("X-Workspace", ""))
+			.setTimeoutMs(TIMEOUT_MILLIS)
+			.setIdempotent(true)
+			.setResponseCredit(ConnectionSettings.INITIAL_CREDIT);
+		request.headers().forEach((name, value) -> start.addHeaders(Header.newBuilder().setName(name).setValue(value)));
+		Collector collector = new Collector();
+		Stream stream = this.connection.open(Frame.newBuilder().setRequestStart(start), collector);
+		stream.sendBody(ByteString.copyFrom(request.body()));
+		stream.send(Frame.newBuilder().setBodyEnd(BodyEnd.newBuilder().setLength(request.body().length)));
+		return collector.answer;
+	}
+
+	@Override
+	public void close() {
+		this.connection.close(new Failure("close", "load generator", "done"));
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Collects the frames of one answer.
+	 */
+	private static final class Collector implements FrameHandler {
+
+		private final CompletableFuture<Answer> answer = new CompletableFuture<>();
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private final DefaultHttpHeaders headers = new DefaultHttpHeaders();
+
+		private final List<Long> times = new ArrayList<>();
+
+		private int status;
+
+		@Override
+		public void received(Stream stream, Frame frame) {
+			if (frame.hasResponseStart()) {
+				this.status = frame.getResponseStart().getStatus();
+				frame.getResponseStart()
+					.getHeadersList()
+					.forEach((header) -> this.headers.add(header.getName(), header.getValue()));
+				this.headers.set("X-Model-Version", frame.getResponseStart().getVersion());
+			}
+			else if (frame.hasBodyPart()) {
+				ByteString data = frame.getBodyPart().getData();
+				this.times.add(System.nanoTime());
+				this.body.writeBytes(data.toByteArray());
+				stream.consumed(data.size());
+			}
+			else if (frame.hasBodyEnd()) {
+				end(stream, true, "");
+			}
+			else {
+				end(stream, false, frame.getBodyCase() + " " + frame.getRefused().getReason());
+			}
+		}
+
+		@Override
+		public void lost(Stream stream, Failure failure) {
+			end(stream, false, failure.toString());
+		}
+
+		private void end(Stream stream, boolean whole, String failure) {
+			stream.close();
+			this.answer.complete(new Answer(this.status, this.headers, this.body.toByteArray(), whole, true,
+					this.times.isEmpty() ? 0 : this.times.get(0), System.nanoTime(), this.times.size(),
+					whole ? null : failure));
+		}
+
+	}
+
+	/**
+	 * Presents the caller as an entry.
+	 */
+	private static final class EntryState implements LocalState {
+
+		@Override
+		public Hello hello() {
+			return Hello.newBuilder()
+				.setInstance("load-generator")
+				.setIncarnation(System.currentTimeMillis())
+				.setRole(Role.ENTRY)
+				.build();
+		}
+
+		@Override
+		public Knowledge knowledge() {
+			return Knowledge.getDefaultInstance();
+		}
+
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/load/LoadGenerator.java
+++ b/benchmarks/src/main/java/org/baobabknot/load/LoadGenerator.java
@@ -17,23 +17,29 @@
 	// a balancer does; the request has not left the caller.
 	private static final int CONNECT_ATTEMPTS = 3;
 
-	private final HttpCaller caller;
-
-	private final EntryChooser chooser;
+	private final RequestSender sender;
 
 	private final LoadReport report;
 
 	private volatile boolean stopped;
 
 	/**
-	 * Creates a generator.
+	 * Creates a generator that sends HTTP requests.
 	 * @param caller sends the requests
 	 * @param chooser chooses the entry of each request
 	 * @param report collects the samples
 	 */
 	public LoadGenerator(HttpCaller caller, EntryChooser chooser, LoadReport report) {
-		this.caller = caller;
-		this.chooser = chooser;
+		this((request) -> caller.send(chooser.next(), request), report);
+	}
+
+	/**
+	 * Creates a generator.
+	 * @param sender sends the requests
+	 * @param report collects the samples
+	 */
+	public LoadGenerator(RequestSender sender, LoadReport report) {
+		this.sender = sender;
 		this.report = report;
 	}
 
@@ -111,7 +117,7 @@
 	}
 
 	private CompletableFuture<Answer> attempt(LoadRequest request, int number) {
-		return this.caller.send(this.chooser.next(), request).thenCompose((answer) -> {
+		return this.sender.send(request).thenCompose((answer) -> {
 			if (!answer.connected() && number < CONNECT_ATTEMPTS) {
 				return attempt(request, number + 1);
 			}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/load/RequestSender.java
@@ -0,0 +1,18 @@
+package org.baobabknot.load;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Sends a request over one path, such as HTTP to an entry.
+ */
+@FunctionalInterface
+public interface RequestSender {
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @return the answer; never completed exceptionally
+	 */
+	CompletableFuture<Answer> send(LoadRequest request);
+
+}
