Add the experiment that measures tables and messages

Cause: the capacity page needs the heap of each table per element, the bytes of each control message and the number of connections at growing fleet sizes.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -5,13 +5,18 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.baobabknot.capacity.TablesExperiment;
+
 /**
  * Table of the experiments. To add one, add a constant with its summary and class.
  */
 public enum Subcommands {
 
 	/** Starts idle processes; checks the launcher itself. */
-	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
+	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new),
+
+	/** Cost of tables and messages for the capacity page. */
+	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new);
 
 	private final String summary;
 
