--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/benchmark/AdmissionBenchmark.java
@@ -0,0 +1,86 @@
+package org.baobabknot.benchmark;
+
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.admission.Decision;
+import org.baobabknot.admission.FairQueue;
+import org.baobabknot.admission.LimiterSettings;
+import org.baobabknot.admission.Observation;
+import org.baobabknot.admission.Offer;
+import org.baobabknot.admission.Poll;
+import org.baobabknot.admission.Priority;
+import org.baobabknot.admission.QueueSettings;
+import org.baobabknot.admission.TargetLimiter;
+import org.baobabknot.admission.Waiting;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Cost of admitting and ending one request.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class AdmissionBenchmark {
+
+	private static final int WORKSPACES = 10;
+
+	private final TargetLimiter limiter = new TargetLimiter(LimiterSettings.silent(2, 64));
+
+	private final FairQueue<Integer> queue = new FairQueue<>(new QueueSettings(1024, 512));
+
+	private long now;
+
+	/**
+	 * Fills the queue, so that each offer meets other workspaces.
+	 */
+	public AdmissionBenchmark() {
+		for (int i = 0; i < WORKSPACES * 20; i++) {
+			this.queue.offer(waiting(i));
+		}
+	}
+
+	/**
+	 * Starts and ends one request.
+	 * @return the decision
+	 */
+	@Benchmark
+	public Decision limiterStartAndFinish() {
+		this.now += 1_000_000;
+		Decision decision = this.limiter.tryStart(this.now);
+		if (decision instanceof Decision.Admitted admitted) {
+			this.limiter.finished(Observation.healthy(admitted, 1_000_000), this.now);
+		}
+		return decision;
+	}
+
+	/**
+	 * Adds one request to a queue with 200 requests of 10 workspaces and takes one.
+	 * @return the request taken
+	 */
+	@Benchmark
+	public Poll<Integer> queueOfferAndPoll() {
+		this.now++;
+		Offer<Integer> offer = this.queue.offer(waiting((int) this.now));
+		if (offer instanceof Offer.Refused) {
+			throw new IllegalStateException("the queue must not fill up");
+		}
+		return this.queue.poll(0);
+	}
+
+	private static Waiting<Integer> waiting(int number) {
+		return new Waiting<>("workspace-" + Math.floorMod(number, WORKSPACES), Priority.NORMAL, 1, Long.MAX_VALUE,
+				number);
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/benchmark/RecordBenchmark.java
@@ -0,0 +1,76 @@
+package org.baobabknot.benchmark;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.record.Begin;
+import org.baobabknot.record.Claim;
+import org.baobabknot.record.ClaimText;
+import org.baobabknot.record.Hash128;
+import org.baobabknot.record.RecordSettings;
+import org.baobabknot.record.RequestRecord;
+import org.baobabknot.record.StoredResult;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Cost of recording one non-idempotent request.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class RecordBenchmark {
+
+	private static final int RECORDED = 20_000;
+
+	private static final byte[] BODY = new byte[200];
+
+	private final RequestRecord record = new RequestRecord(
+			new RecordSettings(RECORDED, RECORDED / 2, 1024, Long.MAX_VALUE), 1);
+
+	private long now;
+
+	/**
+	 * Begins, hands over and ends one request with a key while 10,000 are recorded.
+	 * @return the first answer of the record
+	 */
+	@Benchmark
+	public Begin recordOne() {
+		this.now++;
+		Hash128 id = new Hash128(this.now, this.now * 31);
+		Begin begin = this.record.begin(id, new Hash128(this.now, 7), id, this.now);
+		this.record.tryHandOver(id);
+		this.record.finished(id, new StoredResult(201, List.of(), "", "", BODY), this.now);
+		return begin;
+	}
+
+	/**
+	 * Hashes a key with its service and workspace.
+	 * @return the hash
+	 */
+	@Benchmark
+	public Hash128 keyHash() {
+		return Hash128.digest("order-desk", "lahore-shop-17", "0b5c1a52-4f39-4d2b-9b4e-7f2f5b9a6f60");
+	}
+
+	/**
+	 * Writes the text of one claim.
+	 * @return the text
+	 */
+	@Benchmark
+	public byte[] claimText() {
+		return ClaimText
+			.write(List.of(new Claim(new Hash128(this.now, 7), "agent-12", 1L << 58, this.now, 1_790_000_000L)));
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/benchmark/RoutingBenchmark.java
@@ -0,0 +1,138 @@
+package org.baobabknot.benchmark;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGeneratorFactory;
+
+import org.baobabknot.retry.RetryBudget;
+import org.baobabknot.routing.Availability;
+import org.baobabknot.routing.Balancer;
+import org.baobabknot.routing.BalancerSettings;
+import org.baobabknot.routing.Choice;
+import org.baobabknot.routing.LoadReport;
+import org.baobabknot.routing.Node;
+import org.baobabknot.routing.RoutingRequest;
+import org.baobabknot.routing.Subset;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * Cost of choosing an agent, of the retry budget, and of choosing connections.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class RoutingBenchmark {
+
+	private static final int DOMAINS = 7;
+
+	/**
+	 * Agents that the entry is connected to; about 100 at the target size.
+	 */
+	@Param({ "11", "100" })
+	private int agents;
+
+	private final RetryBudget budget = new RetryBudget(0.1, 1);
+
+	private final RoutingRequest plain = RoutingRequest.of("advice");
+
+	private final List<Node> entries = nodes("entry", 370);
+
+	private final List<Node> fleet = nodes("agent", 4400);
+
+	private Balancer balancer = newBalancer();
+
+	private long now;
+
+	private int prefix;
+
+	private static Balancer newBalancer() {
+		return new Balancer(BalancerSettings.defaults("domain-0"),
+				RandomGeneratorFactory.of("L64X128MixRandom").create(1));
+	}
+
+	private static List<Node> nodes(String kind, int count) {
+		List<Node> nodes = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			nodes.add(new Node(kind + "-" + i, "domain-" + i % DOMAINS));
+		}
+		return nodes;
+	}
+
+	/**
+	 * Fills the table: half of the agents in the own failure domain.
+	 */
+	@Setup
+	public void addAgents() {
+		this.balancer = newBalancer();
+		for (int i = 0; i < this.agents; i++) {
+			this.balancer.add("agent-" + i, "advice", "domain-" + i % 2);
+			this.balancer.update("agent-" + i, new LoadReport(i % 5, 0, 16, Availability.OPEN, 1_000_000), 0);
+		}
+	}
+
+	/**
+	 * Chooses by load, starts and ends one request.
+	 * @return the choice
+	 */
+	@Benchmark
+	public Optional<Choice> chooseByLoad() {
+		return route(this.plain);
+	}
+
+	/**
+	 * Chooses by the prefix of a prompt, starts and ends one request.
+	 * @return the choice
+	 */
+	@Benchmark
+	public Optional<Choice> chooseByPrefix() {
+		this.prefix = (this.prefix + 1) % 64;
+		return route(RoutingRequest.withPrefix("advice", "prefix-" + this.prefix));
+	}
+
+	private Optional<Choice> route(RoutingRequest request) {
+		this.now += 1000;
+		Optional<Choice> choice = this.balancer.choose(request, Set.of(), this.now);
+		choice.ifPresent((chosen) -> {
+			this.balancer.started(chosen.agent());
+			this.balancer.finished(chosen.agent(), true, 1_000_000, this.now);
+		});
+		return choice;
+	}
+
+	/**
+	 * Counts one request and asks for one retry.
+	 * @return whether the retry is allowed
+	 */
+	@Benchmark
+	public boolean retryBudget() {
+		this.budget.deposit();
+		return this.budget.tryWithdraw(this.now++);
+	}
+
+	/**
+	 * Chooses the connections of one entry to 4,400 agents of one service among 370
+	 * entries in 7 failure domains.
+	 * @return the number of connections
+	 */
+	@Benchmark
+	public int subsetAtTargetSize() {
+		return Subset.agentsFor(this.entries.get(0), this.entries, this.fleet).size();
+	}
+
+}
--- a/core/src/main/java/org/baobabknot/routing/Balancer.java
+++ b/core/src/main/java/org/baobabknot/routing/Balancer.java
@@ -249,12 +249,9 @@
 			return null;
 		}
 		double bound = this.settings.boundedLoad() * meanLoad(candidates);
-		for (AgentLoad load : RendezvousHash.rank(key.get(), candidates, (candidate) -> candidate.name)) {
-			if (load.relativeLoad() <= bound) {
-				return load;
-			}
-		}
-		return null;
+		List<AgentLoad> within = new ArrayList<>(candidates);
+		within.removeIf((load) -> load.relativeLoad() > bound);
+		return RendezvousHash.first(key.get(), within, (load) -> load.name).orElse(null);
 	}
 
 	private static double meanLoad(List<AgentLoad> candidates) {
