--- a/core/src/main/java/org/baobabknot/rollout/SwitchRank.java
+++ b/core/src/main/java/org/baobabknot/rollout/SwitchRank.java
@@ -62,6 +62,9 @@
 		if (own.phase() == RolloutPhase.OUT || own.phase() == RolloutPhase.DONE) {
 			return new SwitchDecision.Wait("phase is " + own.phase());
 		}
+		if (!listed.contains(own.instance())) {
+			return new SwitchDecision.Wait("not on the member list");
+		}
 		List<String> blocking = blocking(view, own, listed, nowNanos);
 		if (blocking.size() >= out) {
 			this.turnSince = -1;
--- a/core/src/test/java/org/baobabknot/rollout/RolloutSimulation.java
+++ b/core/src/test/java/org/baobabknot/rollout/RolloutSimulation.java
@@ -220,8 +220,12 @@
 			else if (own.phase() == RolloutPhase.FETCHING && time >= this.readyAt) {
 				view().announce(own.key(), RolloutPhase.READY, own.late());
 			}
-			SwitchDecision decision = this.rank.decide(view(), RolloutSimulation.this.listed,
-					RolloutSimulation.this.out, time);
+			// The own name stays on the list that an agent sees: an agent learns late
+			// that it
+			// was removed.
+			Set<String> seen = new TreeSet<>(RolloutSimulation.this.listed);
+			seen.add(this.name);
+			SwitchDecision decision = this.rank.decide(view(), seen, RolloutSimulation.this.out, time);
 			if (decision instanceof SwitchDecision.Switch) {
 				this.switching = true;
 				this.engine = "";
