--- a/standins/src/main/java/org/baobabknot/standin/origin/Model.java
+++ b/standins/src/main/java/org/baobabknot/standin/origin/Model.java
@@ -3,8 +3,8 @@
 import java.util.Arrays;
 import java.util.SplittableRandom;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.baobabknot.origin.ManifestJson;
 import org.baobabknot.standin.JsonBody;
 import org.baobabknot.weights.Manifest;
 
@@ -46,15 +46,7 @@
 	 * @return the JSON form
 	 */
 	public ObjectNode manifestJson() {
-		ObjectNode node = JsonBody.object();
-		node.put("service", this.manifest.service());
-		node.put("version", this.manifest.version());
-		node.put("size", this.manifest.size());
-		node.put("chunk_size", this.manifest.chunkSize());
-		ArrayNode digests = node.putArray("chunk_digests");
-		this.manifest.chunkDigests().forEach(digests::add);
-		node.put("whole_digest", this.manifest.wholeDigest());
-		return node;
+		return JsonBody.parse(ManifestJson.write(this.manifest));
 	}
 
 }
--- a/standins/src/test/java/org/baobabknot/standin/OriginStandinTests.java
+++ b/standins/src/test/java/org/baobabknot/standin/OriginStandinTests.java
@@ -6,6 +6,7 @@
 
 import org.baobabknot.origin.ChunkResult;
 import org.baobabknot.origin.HttpWeightOrigin;
+import org.baobabknot.origin.ManifestJson;
 import org.baobabknot.origin.ManifestResult;
 import org.baobabknot.origin.WeightOrigin;
 import org.baobabknot.standin.origin.OriginStandin;
@@ -63,7 +64,8 @@
 			assertThat(Digests.of(chunk(index)), equalTo(manifest.chunkDigests().get(index)));
 		}
 		assertThat(this.server.record().path("chunk_bytes").asLong(), equalTo(manifest.size()));
-		assertThat(get(this.client.manifest("translation", "v1")), instanceOf(ManifestResult.Fetched.class));
+		ManifestResult.Fetched fetched = (ManifestResult.Fetched) get(this.client.manifest("translation", "v1"));
+		assertThat(ManifestJson.read(fetched.json()), equalTo(manifest));
 		assertThat(get(this.client.manifest("translation", "v2")), instanceOf(ManifestResult.Absent.class));
 		assertThat(get(this.client.chunk("translation", "v1", 99)), instanceOf(ChunkResult.Absent.class));
 	}
