--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/CallerChecks.java
@@ -0,0 +1,60 @@
+package org.baobabknot.experiment;
+
+import java.util.List;
+import java.util.Set;
+
+import org.baobabknot.experiment.Violations.Guarantee;
+import org.baobabknot.load.LoadOutcome;
+
+/**
+ * Checks the guarantees by what callers saw.
+ */
+final class CallerChecks {
+
+	private static final int OK = 200;
+
+	private final FaultHistory history;
+
+	private final Violations violations;
+
+	CallerChecks(FaultHistory history, Violations violations) {
+		this.history = history;
+		this.violations = violations;
+	}
+
+	void checkAll(List<FaultRequest> requests) {
+		for (FaultRequest request : requests) {
+			request.attempts().forEach((attempt) -> answer(request, attempt));
+		}
+		for (FaultHistory.Shutdown shutdown : this.history.shutdowns()) {
+			if (shutdown.status() != 0) {
+				this.violations.add(Guarantee.SHUTDOWN, "exit status " + shutdown);
+			}
+			for (FaultRequest request : requests) {
+				request.attempts()
+					.stream()
+					.filter((attempt) -> aborted(attempt, shutdown))
+					.forEach((attempt) -> this.violations.add(Guarantee.SHUTDOWN, attempt + " during " + shutdown));
+			}
+		}
+	}
+
+	private void answer(FaultRequest request, FaultRequest.Attempt attempt) {
+		if (attempt.outcome() == LoadOutcome.WRONG) {
+			this.violations.add(Guarantee.ANSWER, request.request().id() + ": " + attempt);
+		}
+	}
+
+	// A connection that the entry closed without an answer is its doing. An answer that
+	// breaks off may be the doing of another fault at the same time.
+	private boolean aborted(FaultRequest.Attempt attempt, FaultHistory.Shutdown shutdown) {
+		if (!attempt.entry().equals(shutdown.entry()) || attempt.outcome() != LoadOutcome.LOST
+				|| attempt.endMillis() < shutdown.signalMillis() || attempt.sentMillis() > shutdown.exitMillis()) {
+			return false;
+		}
+		boolean other = this.history.overlaps((kind) -> kind != FaultKind.ENTRY_TERM, Set.of(),
+				attempt.sentMillis() - 2_000, attempt.endMillis());
+		return attempt.status() == 0 || (attempt.status() == OK && !other);
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultRules.java
@@ -0,0 +1,192 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Changes the rules of the fleet and records when each change was accepted.
+ */
+final class FaultRules {
+
+	private static final String TOOL_MAIN = "org.baobabknot.command.Baobabknotctl";
+
+	private static final int ATTEMPTS = 8;
+
+	private static final long RETRY_MILLIS = 700;
+
+	private static final long TOOL_MILLIS = 60_000;
+
+	private final ExperimentContext context;
+
+	private final Fleet fleet;
+
+	private final RulesText text;
+
+	private final List<Accepted> accepted = new ArrayList<>();
+
+	private final Map<String, Long> outSince = new TreeMap<>();
+
+	private final List<Out> outs = new ArrayList<>();
+
+	private int models = 1;
+
+	private int files;
+
+	private long races;
+
+	private long bothAccepted;
+
+	FaultRules(ExperimentContext context, Fleet fleet) {
+		this.context = context;
+		this.fleet = fleet;
+		this.text = new RulesText(fleet.deployment()).allowedOut(1)
+			.model(Fleet.FIRST_VERSION, fleet.manifestDigest(Fleet.FIRST_VERSION));
+	}
+
+	/**
+	 * Puts the rules in force and repeats attempts that do not succeed.
+	 * @return whether they are in force
+	 * @throws InterruptedException when interrupted
+	 */
+	synchronized boolean apply() throws InterruptedException {
+		for (int attempt = 1; attempt <= ATTEMPTS; attempt++) {
+			OperatorTool.Result result = this.fleet.tool().run("apply", file(this.text.text()));
+			if (result.status() == 0) {
+				accept(result.json());
+				return true;
+			}
+			this.context.report("rules: attempt %d ended with status %d: %s", attempt, result.status(), result.json());
+			TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+		}
+		return false;
+	}
+
+	private String file(String content) {
+		this.files++;
+		return this.context.launcher().writeText("rules-" + this.files + ".txt", content).toString();
+	}
+
+	private void accept(JsonNode json) {
+		if (json.path("change").asText().equals("accepted")) {
+			this.accepted.add(new Accepted(json.path("revision").asLong(), json.path("accepted_at_ms").asLong()));
+		}
+	}
+
+	/**
+	 * Publishes another version of the model and names it in the rules.
+	 * @throws IOException when the origin does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	synchronized void releaseModel() throws IOException, InterruptedException {
+		this.models++;
+		String version = "v" + this.models;
+		this.fleet.publish(version, 1_000 + this.models);
+		this.text.model(version, this.fleet.manifestDigest(version));
+		apply();
+	}
+
+	/**
+	 * Takes a failure domain out of service or back.
+	 * @param domain the failure domain
+	 * @param inService whether it is in service
+	 * @throws InterruptedException when interrupted
+	 */
+	synchronized void domain(String domain, boolean inService) throws InterruptedException {
+		this.text.domain(domain, inService);
+		long asked = System.currentTimeMillis();
+		boolean done = apply();
+		if (inService) {
+			Long since = this.outSince.remove(domain);
+			if (since != null) {
+				this.outs.add(new Out(domain, since, asked));
+			}
+		}
+		else if (done) {
+			this.outSince.put(domain, System.currentTimeMillis());
+		}
+	}
+
+	/**
+	 * Lets two operators change the rules at once.
+	 * @throws InterruptedException when interrupted
+	 */
+	synchronized void race() throws InterruptedException {
+		this.races++;
+		List<LaunchedProcess> tools = new ArrayList<>();
+		for (String operator : List.of("a", "b")) {
+			String content = this.text.text() + "workspace race-" + this.races + operator + " "
+					+ this.fleet.deployment().modelService().name() + "  # operator " + operator + ": race\n";
+			tools.add(this.context.launcher()
+				.start("race-" + this.races + operator, TOOL_MAIN, List.of("-Xmx96m"), List.of("apply", file(content),
+						"--json", "--settings", this.fleet.tool().settings().toString())));
+		}
+		List<Long> revisions = new ArrayList<>();
+		for (LaunchedProcess tool : tools) {
+			tool.awaitExit(TOOL_MILLIS);
+			JsonNode result = lastLine(tool.logText());
+			accept(result);
+			if (result.path("change").asText().equals("accepted")) {
+				revisions.add(result.path("revision").asLong());
+			}
+		}
+		if (revisions.size() == 2 && revisions.get(0).equals(revisions.get(1))) {
+			this.bothAccepted++;
+		}
+		apply();
+	}
+
+	private static JsonNode lastLine(String log) {
+		String stripped = log.strip();
+		try {
+			return new ObjectMapper().readTree(stripped.substring(stripped.lastIndexOf('\n') + 1));
+		}
+		catch (IOException ex) {
+			return new ObjectMapper().createObjectNode();
+		}
+	}
+
+	synchronized List<Accepted> accepted() {
+		return List.copyOf(this.accepted);
+	}
+
+	synchronized List<Out> outs() {
+		return List.copyOf(this.outs);
+	}
+
+	/**
+	 * Returns how often two operators were both told that the same revision is theirs.
+	 * @return the number of races
+	 */
+	synchronized long bothAccepted() {
+		return this.bothAccepted;
+	}
+
+	/**
+	 * An accepted change.
+	 *
+	 * @param revision its revision
+	 * @param atMillis when it was accepted
+	 */
+	record Accepted(long revision, long atMillis) {
+
+	}
+
+	/**
+	 * A period in which a failure domain was out of service.
+	 *
+	 * @param domain the failure domain
+	 * @param fromMillis when the change was known to be accepted
+	 * @param toMillis when its return was asked for
+	 */
+	record Out(String domain, long fromMillis, long toMillis) {
+
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultSite.java
@@ -0,0 +1,110 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The fleet as faults see it, with the choices drawn from the seed.
+ */
+final class FaultSite {
+
+	private final Fleet fleet;
+
+	private final FaultRules rules;
+
+	private final FaultHistory history;
+
+	private final RandomGenerator random;
+
+	private final Set<String> busy = new HashSet<>();
+
+	FaultSite(Fleet fleet, FaultRules rules, FaultHistory history, RandomGenerator random) {
+		this.fleet = fleet;
+		this.rules = rules;
+		this.history = history;
+		this.random = random;
+	}
+
+	Fleet fleet() {
+		return this.fleet;
+	}
+
+	FaultRules rules() {
+		return this.rules;
+	}
+
+	FaultHistory history() {
+		return this.history;
+	}
+
+	int next(int bound) {
+		return this.random.nextInt(bound);
+	}
+
+	String entry() {
+		return choose(Deployment.Instance::entry);
+	}
+
+	String agent() {
+		return choose((instance) -> !instance.entry());
+	}
+
+	String engine() {
+		return choose((instance) -> instance.service().filter(Deployment.Service::engine).isPresent());
+	}
+
+	String orderTarget() {
+		String service = this.fleet.deployment().orderService().name();
+		return choose((instance) -> instance.service().filter((found) -> found.name().equals(service)).isPresent());
+	}
+
+	// Chooses an instance without another fault, so that each fault can be ended on its
+	// own.
+	private String choose(Predicate<Deployment.Instance> which) {
+		List<String> names = this.fleet.deployment()
+			.instances()
+			.stream()
+			.filter(which)
+			.map(Deployment.Instance::name)
+			.filter((name) -> !this.busy.contains(name))
+			.toList();
+		String chosen = names.get(next(names.size()));
+		this.busy.add(chosen);
+		return chosen;
+	}
+
+	void release(String instance) {
+		this.busy.remove(instance);
+	}
+
+	String domain() {
+		List<Deployment.Domain> domains = this.fleet.deployment().domains();
+		return domains.get(next(domains.size())).name();
+	}
+
+	String domainOf(String instance) {
+		return this.fleet.deployment()
+			.instances()
+			.stream()
+			.filter((candidate) -> candidate.name().equals(instance))
+			.findFirst()
+			.map((found) -> found.domain().name())
+			.orElse("");
+	}
+
+	static ObjectNode fault(String kind) {
+		return JsonNodeFactory.instance.objectNode().put("kind", kind);
+	}
+
+	void clear(String standin, String kind) throws IOException, InterruptedException {
+		this.fleet.clearFault(standin, kind);
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -370,6 +370,17 @@
 		this.control.send("DELETE", url(standin) + "/fault", JsonNodeFactory.instance.objectNode());
 	}
 
+	/**
+	 * Switches one fault of a stand-in off.
+	 * @param standin as for {@link #record}
+	 * @param kind the kind of the fault
+	 * @throws IOException when it does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	public void clearFault(String standin, String kind) throws IOException, InterruptedException {
+		this.control.send("DELETE", url(standin) + "/fault?kind=" + kind, JsonNodeFactory.instance.objectNode());
+	}
+
 	private String url(String standin) {
 		return this.plan.standinUrl(standin);
 	}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessFaults.java
@@ -0,0 +1,81 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.experiment.FaultHistory.Leaving;
+import org.baobabknot.experiment.FaultHistory.Shutdown;
+import org.baobabknot.experiment.FaultKind.InForce;
+
+/**
+ * Faults of entry and agent processes.
+ */
+final class ProcessFaults {
+
+	/**
+	 * Time for a graceful end: the balancer's lag, the longest request and a busy
+	 * machine.
+	 */
+	private static final long END_MILLIS = 25_000;
+
+	private ProcessFaults() {
+	}
+
+	static InForce kill(FaultSite site, String instance) {
+		site.fleet().process(instance).kill();
+		return new InForce(Set.of(instance), () -> restart(site, instance));
+	}
+
+	static InForce pause(FaultSite site, String instance) {
+		LaunchedProcess process = site.fleet().process(instance);
+		process.signal("STOP");
+		return new InForce(Set.of(instance), () -> {
+			process.signal("CONT");
+			site.release(instance);
+		});
+	}
+
+	static InForce terminateEntry(FaultSite site, String entry) {
+		LaunchedProcess process = site.fleet().process(entry);
+		long signalled = System.currentTimeMillis();
+		process.signal("TERM");
+		return new InForce(Set.of(entry), () -> {
+			boolean ended = process.awaitExit(END_MILLIS);
+			long exit = System.currentTimeMillis();
+			if (!ended) {
+				process.kill();
+			}
+			site.history().shutdown(new Shutdown(entry, signalled, exit, ended ? process.exitStatus() : -1));
+			restart(site, entry);
+		});
+	}
+
+	static InForce leave(FaultSite site, String instance, boolean byOperator) throws IOException {
+		LaunchedProcess process = site.fleet().process(instance);
+		boolean known = true;
+		if (byOperator) {
+			known = site.fleet().tool().run("drain", instance).status() == 0;
+		}
+		else {
+			process.signal("TERM");
+		}
+		long knownMillis = known ? System.currentTimeMillis() : Long.MAX_VALUE;
+		return new InForce(Set.of(instance), () -> {
+			// Long enough to see work that arrives after the bound of 3 s.
+			TimeUnit.MILLISECONDS.sleep(4_000);
+			process.signal("TERM");
+			if (!process.awaitExit(END_MILLIS)) {
+				process.kill();
+			}
+			site.history().leaving(new Leaving(instance, knownMillis, System.currentTimeMillis()));
+			restart(site, instance);
+		});
+	}
+
+	private static void restart(FaultSite site, String instance) {
+		site.fleet().startProcess(instance);
+		site.release(instance);
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -18,6 +18,9 @@
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new),
 
+	/** Checks of the guarantees under faults. */
+	FAULTS("draws faults from a seed and checks every guarantee under load", FaultsExperiment::new),
+
 	/** Cost of tables and messages for the capacity page. */
 	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new);
 
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Violations.java
@@ -0,0 +1,56 @@
+package org.baobabknot.experiment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Violations of the guarantees of section 2.1 of the design page.
+ */
+final class Violations {
+
+	private static final int EXAMPLES = 5;
+
+	private final Map<Guarantee, List<String>> found = new LinkedHashMap<>();
+
+	Violations() {
+		for (Guarantee guarantee : Guarantee.values()) {
+			this.found.put(guarantee, new ArrayList<>());
+		}
+	}
+
+	void add(Guarantee guarantee, String detail) {
+		this.found.computeIfAbsent(guarantee, (key) -> new ArrayList<>()).add(detail);
+	}
+
+	boolean isEmpty() {
+		return this.found.values().stream().allMatch(List::isEmpty);
+	}
+
+	ObjectNode json() {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		this.found.forEach((guarantee, details) -> node.put(guarantee.name().toLowerCase(Locale.ROOT), details.size()));
+		return node;
+	}
+
+	void report(ExperimentContext context) {
+		this.found.forEach((guarantee, details) -> details.stream()
+			.limit(EXAMPLES)
+			.forEach((detail) -> context.report("violation of %s: %s", guarantee, detail)));
+	}
+
+	/**
+	 * The guarantees, in the order of the design page.
+	 */
+	enum Guarantee {
+
+		WEIGHTS, COLD, DOMAIN_OUT, ANSWER, NOT_RUN, AT_MOST_ONCE, LEAVING, SHUTDOWN, CONFIGURATION
+
+	}
+
+}
