--- a/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -68,19 +68,28 @@
 	}
 
 	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output, PrintStream progress) {
-		ProcessLauncher launcher = ProcessLauncher.forRepository();
-		try (launcher) {
+		try (ProcessLauncher launcher = ProcessLauncher.forRepository()) {
 			if (options.has("keep-logs")) {
 				launcher.keepFolder();
 				progress.println("settings and logs: " + launcher.folder());
 			}
-			Outcome outcome = subcommand.run(options, new ExperimentContext(launcher, progress));
+			return measure(subcommand, options, output, new ExperimentContext(launcher, progress));
+		}
+	}
+
+	// An error is reported before the launcher closes: when it was closing already, the
+	// run
+	// was interrupted and the error is only its consequence.
+	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output,
+			ExperimentContext context) {
+		try {
+			Outcome outcome = subcommand.run(options, context);
 			output.println(outcome.figures().toString());
 			return outcome.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
-			if (!launcher.closing()) {
-				ex.printStackTrace(progress);
+			if (!context.launcher().closing()) {
+				ex.printStackTrace(context.progress());
 			}
 			return FAILED;
 		}
