--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultHistory.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultHistory.java
@@ -23,6 +23,10 @@
 		return episode;
 	}
 
+	synchronized void add(Episode episode) {
+		this.episodes.add(episode);
+	}
+
 	synchronized void leaving(Leaving leaving) {
 		this.leavings.add(leaving);
 	}
@@ -98,8 +102,8 @@
 			this.subjects = names;
 		}
 
-		void close() {
-			this.toMillis = System.currentTimeMillis();
+		void close(long millis) {
+			this.toMillis = millis;
 		}
 
 		FaultKind kind() {
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultRun.java
@@ -0,0 +1,124 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.baobabknot.load.LoadOutcome;
+
+/**
+ * A small fleet under load on which faults strike, and the checks of its guarantees.
+ */
+final class FaultRun implements AutoCloseable {
+
+	private static final int CALLERS = 24;
+
+	private static final long READY_MILLIS = 90_000;
+
+	private final ExperimentContext context;
+
+	private final FaultSite site;
+
+	private final FaultLoad load;
+
+	private final RevisionWatch watch;
+
+	private FaultRun(ExperimentContext context, FaultSite site, long seed) {
+		this.context = context;
+		this.site = site;
+		this.load = new FaultLoad(site.fleet(), seed, "faults-" + seed);
+		this.watch = new RevisionWatch(site.fleet());
+	}
+
+	/**
+	 * Starts a fleet, waits until it is ready and starts the load.
+	 * @param context the launcher and the progress output
+	 * @param entries number of entries
+	 * @param engines number of engines
+	 * @param seed seed of all choices
+	 * @return the run
+	 * @throws IOException when the fleet cannot be started or reached
+	 * @throws InterruptedException when interrupted
+	 * @throws TimeoutException when the fleet does not become ready
+	 */
+	static FaultRun start(ExperimentContext context, int entries, int engines, long seed)
+			throws IOException, InterruptedException, TimeoutException {
+		Deployment deployment = Deployment.landshut().sized(entries, engines);
+		Fleet fleet = Fleet.start(context, deployment, FleetOptions.small().withSeed(seed));
+		FaultRules rules = new FaultRules(context, fleet);
+		if (!rules.apply()) {
+			throw new IOException("the first rules were not accepted");
+		}
+		FaultRun run = new FaultRun(context, new FaultSite(fleet, rules, new FaultHistory(), new Random(seed)), seed);
+		run.awaitReady(entries, engines);
+		run.load.start(CALLERS);
+		TimeUnit.SECONDS.sleep(1);
+		return run;
+	}
+
+	private void awaitReady(int entries, int engines) throws IOException, InterruptedException, TimeoutException {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+		Fleet fleet = this.site.fleet();
+		String service = fleet.deployment().modelService().name();
+		String digest = String.valueOf(fleet.digests().get(Fleet.FIRST_VERSION));
+		int loaded = 0;
+		while (this.load.readyEntries() < entries || loaded < engines) {
+			if (System.nanoTime() - end > 0) {
+				throw new TimeoutException("not ready after " + READY_MILLIS + " ms: " + this.load.readyEntries()
+						+ " entries, " + loaded + " engines");
+			}
+			TimeUnit.MILLISECONDS.sleep(200);
+			loaded = TargetRecords.read(fleet).running(service, Fleet.FIRST_VERSION, digest).size();
+		}
+	}
+
+	FaultSite site() {
+		return this.site;
+	}
+
+	/**
+	 * Stops the load after its open requests.
+	 */
+	void stopLoad() {
+		this.load.stop();
+	}
+
+	List<FaultRequest> requests() {
+		return this.load.finished();
+	}
+
+	/**
+	 * Checks every guarantee over the whole run so far.
+	 * @return what was violated
+	 * @throws IOException when a target does not answer
+	 * @throws InterruptedException when interrupted
+	 */
+	Violations check() throws IOException, InterruptedException {
+		List<FaultRequest> requests = requests();
+		Violations violations = new Violations();
+		TargetChecks targets = new TargetChecks(this.site.fleet().digests(), this.site.history(), violations);
+		targets.read(this.site.fleet());
+		targets.checkAll(this.site.rules().outs(), requests);
+		new CallerChecks(this.site.history(), violations).checkAll(requests);
+		List<RevisionWatch.Seen> seen = this.watch.seen();
+		new RevisionChecks(this.site.history(), this.site::domainOf, violations).checkAll(this.site.rules().accepted(),
+				seen, this.site.rules().bothAccepted());
+		violations.report(this.context);
+		for (LoadOutcome outcome : LoadOutcome.values()) {
+			this.context.report("requests that ended %s: %d", outcome,
+					requests.stream().filter((request) -> request.outcome() == outcome).count());
+		}
+		this.context.report("runs at the targets: %d, revisions seen: %d, accepted changes: %d", targets.runs(),
+				seen.size(), this.site.rules().accepted().size());
+		return violations;
+	}
+
+	@Override
+	public void close() {
+		this.watch.close();
+		this.load.close();
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultSequence.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultSequence.java
@@ -63,7 +63,13 @@
 		return this.order.remove();
 	}
 
-	private void strike(List<FaultKind> together) throws IOException, InterruptedException {
+	/**
+	 * Lets faults strike together, waits a while and ends them.
+	 * @param together the kinds of the faults
+	 * @throws IOException when the fleet cannot be reached
+	 * @throws InterruptedException when interrupted
+	 */
+	void strike(List<FaultKind> together) throws IOException, InterruptedException {
 		List<FaultHistory.Episode> episodes = new ArrayList<>();
 		List<FaultKind.InForce> inForce = new ArrayList<>();
 		for (FaultKind kind : together) {
@@ -78,7 +84,7 @@
 		pause(800, 2_500);
 		for (int index = 0; index < inForce.size(); index++) {
 			inForce.get(index).ending().end();
-			episodes.get(index).close();
+			episodes.get(index).close(System.currentTimeMillis());
 		}
 	}
 
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultsExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultsExperiment.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -23,10 +21,6 @@
 
 	private static final int ENGINES = 6;
 
-	private static final int CALLERS = 24;
-
-	private static final long READY_MILLIS = 90_000;
-
 	/**
 	 * Load without faults before the end, in which the fleet recovers.
 	 */
@@ -64,55 +58,17 @@
 	 * @throws Exception when the fleet cannot be started or reached
 	 */
 	static Outcome run(ExperimentContext context, List<FaultKind> kinds, long seed, int seconds) throws Exception {
-		Deployment deployment = Deployment.landshut().sized(ENTRIES, ENGINES);
-		Fleet fleet = Fleet.start(context, deployment, FleetOptions.small().withSeed(seed));
-		FaultRules rules = new FaultRules(context, fleet);
-		if (!rules.apply()) {
-			throw new IOException("the first rules were not accepted");
-		}
-		FaultSite site = new FaultSite(fleet, rules, new FaultHistory(), new Random(seed));
-		try (FaultLoad load = new FaultLoad(fleet, seed, "faults-" + seed);
-				RevisionWatch watch = new RevisionWatch(fleet)) {
-			awaitReady(fleet, load);
-			load.start(CALLERS);
-			TimeUnit.SECONDS.sleep(1);
-			int faults = new FaultSequence(context, site, kinds).run(TimeUnit.SECONDS.toMillis(seconds));
+		try (FaultRun run = FaultRun.start(context, ENTRIES, ENGINES, seed)) {
+			int faults = new FaultSequence(context, run.site(), kinds).run(TimeUnit.SECONDS.toMillis(seconds));
 			TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
-			load.stop();
-			return check(context, site, load.finished(), watch.seen(), seed, faults);
+			run.stopLoad();
+			return outcome(run, seed, faults);
 		}
 	}
 
-	private static void awaitReady(Fleet fleet, FaultLoad load)
-			throws IOException, InterruptedException, TimeoutException {
-		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
-		String service = fleet.deployment().modelService().name();
-		String digest = String.valueOf(fleet.digests().get(Fleet.FIRST_VERSION));
-		while (load.readyEntries() < ENTRIES
-				|| TargetRecords.read(fleet).running(service, Fleet.FIRST_VERSION, digest).size() < ENGINES) {
-			if (System.nanoTime() - end > 0) {
-				throw new TimeoutException(
-						"the fleet is not ready after " + READY_MILLIS + " ms: " + load.readyEntries() + " entries");
-			}
-			TimeUnit.MILLISECONDS.sleep(200);
-		}
-	}
-
-	private static Outcome check(ExperimentContext context, FaultSite site, List<FaultRequest> requests,
-			List<RevisionWatch.Seen> seen, long seed, int faults) throws IOException, InterruptedException {
-		Violations violations = new Violations();
-		TargetChecks targets = new TargetChecks(site.fleet(), site.history(), violations);
-		targets.read();
-		targets.checkAll(site.rules(), requests);
-		new CallerChecks(site.history(), violations).checkAll(requests);
-		new RevisionChecks(site, violations).checkAll(site.rules().accepted(), seen, site.rules().bothAccepted());
-		violations.report(context);
-		for (LoadOutcome outcome : LoadOutcome.values()) {
-			context.report("requests that ended %s: %d", outcome,
-					requests.stream().filter((request) -> request.outcome() == outcome).count());
-		}
-		context.report("runs at the targets: %d, revisions seen: %d, accepted changes: %d", targets.runs(), seen.size(),
-				site.rules().accepted().size());
+	private static Outcome outcome(FaultRun run, long seed, int faults) throws IOException, InterruptedException {
+		Violations violations = run.check();
+		List<FaultRequest> requests = run.requests();
 		long unknown = requests.stream()
 			.filter((request) -> request.outcome() == LoadOutcome.UNKNOWN || request.outcome() == LoadOutcome.LOST)
 			.count();
--- a/benchmarks/src/main/java/org/baobabknot/experiment/RevisionChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/RevisionChecks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 import org.baobabknot.experiment.Violations.Guarantee;
 
@@ -20,12 +21,15 @@
 
 	private static final long IN_FORCE_STORE_DOWN_MILLIS = 8_000 + 1_500;
 
-	private final FaultSite site;
+	private final FaultHistory history;
+
+	private final UnaryOperator<String> domainOf;
 
 	private final Violations violations;
 
-	RevisionChecks(FaultSite site, Violations violations) {
-		this.site = site;
+	RevisionChecks(FaultHistory history, UnaryOperator<String> domainOf, Violations violations) {
+		this.history = history;
+		this.domainOf = domainOf;
 		this.violations = violations;
 	}
 
@@ -45,13 +49,12 @@
 	}
 
 	private long bound(FaultRules.Accepted change, RevisionWatch.Seen sample) {
-		FaultHistory history = this.site.history();
 		String instance = sample.instance();
-		boolean store = history.overlaps(FaultKind::ofStore, Set.of(), change.atMillis() - 1_000,
+		boolean store = this.history.overlaps(FaultKind::ofStore, Set.of(), change.atMillis() - 1_000,
 				change.atMillis() + IN_FORCE_MILLIS);
 		long time = store ? IN_FORCE_STORE_DOWN_MILLIS : IN_FORCE_MILLIS;
-		long reachable = history.lastEnd((kind) -> kind.ofLink() || kind.ofProcess(),
-				Set.of(instance, this.site.domainOf(instance)), change.atMillis(), sample.askedMillis());
+		long reachable = this.history.lastEnd((kind) -> kind.ofLink() || kind.ofProcess(),
+				Set.of(instance, this.domainOf.apply(instance)), change.atMillis(), sample.askedMillis());
 		boolean disturbed = reachable > change.atMillis();
 		return disturbed ? reachable + IN_FORCE_STORE_DOWN_MILLIS : change.atMillis() + time;
 	}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/TargetChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/TargetChecks.java
@@ -29,7 +29,7 @@
 	 */
 	private static final long UNANNOUNCED_COLD_MILLIS = 2_000;
 
-	private final Fleet fleet;
+	private final Map<String, String> digests;
 
 	private final FaultHistory history;
 
@@ -37,29 +37,32 @@
 
 	private final List<Run> runs = new ArrayList<>();
 
-	TargetChecks(Fleet fleet, FaultHistory history, Violations violations) {
-		this.fleet = fleet;
+	TargetChecks(Map<String, String> digests, FaultHistory history, Violations violations) {
+		this.digests = digests;
 		this.history = history;
 		this.violations = violations;
 	}
 
-	void read() throws IOException, InterruptedException {
-		for (Deployment.Instance instance : this.fleet.deployment().instances()) {
+	void read(Fleet fleet) throws IOException, InterruptedException {
+		for (Deployment.Instance instance : fleet.deployment().instances()) {
 			if (!instance.entry()) {
-				JsonNode record = this.fleet.record(instance.name());
-				record.path("requests").forEach((request) -> this.runs.add(new Run(instance, request)));
+				fleet.record(instance.name()).path("requests").forEach((request) -> add(instance, request));
 			}
 		}
 	}
 
+	void add(Deployment.Instance instance, JsonNode request) {
+		this.runs.add(new Run(instance, request));
+	}
+
 	int runs() {
 		return this.runs.size();
 	}
 
-	void checkAll(FaultRules rules, List<FaultRequest> requests) {
+	void checkAll(List<FaultRules.Out> outs, List<FaultRequest> requests) {
 		this.runs.forEach(this::weights);
 		this.runs.forEach(this::cold);
-		rules.outs().forEach(this::domainOut);
+		outs.forEach(this::domainOut);
 		this.history.leavings().forEach(this::leaving);
 		Map<String, Integer> counts = new HashMap<>();
 		this.runs.forEach((run) -> counts.merge(run.bodyDigest(), 1, Integer::sum));
@@ -74,7 +77,7 @@
 		if (!run.engine()) {
 			return;
 		}
-		String published = this.fleet.digests().get(run.text("version"));
+		String published = this.digests.get(run.text("version"));
 		if (!run.text("digest").equals(published)) {
 			this.violations.add(Guarantee.WEIGHTS, run + ": not the published bytes of its version");
 		}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Violations.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Violations.java
@@ -32,6 +32,10 @@
 		return this.found.values().stream().allMatch(List::isEmpty);
 	}
 
+	int count(Guarantee guarantee) {
+		return this.found.getOrDefault(guarantee, List.of()).size();
+	}
+
 	ObjectNode json() {
 		ObjectNode node = JsonNodeFactory.instance.objectNode();
 		this.found.forEach((guarantee, details) -> node.put(guarantee.name().toLowerCase(Locale.ROOT), details.size()));
--- /dev/null
+++ b/benchmarks/src/test/java/org/baobabknot/experiment/GuaranteeCheckTests.java
@@ -0,0 +1,185 @@
+package org.baobabknot.experiment;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.baobabknot.experiment.Violations.Guarantee;
+import org.baobabknot.load.AnswerCheck;
+import org.baobabknot.load.LoadOutcome;
+import org.baobabknot.load.LoadRequest;
+import org.baobabknot.load.Workload;
+import org.baobabknot.weights.Digests;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+/**
+ * Tests of the checks themselves on made-up records: each violation is found, and what
+ * the design page allows is not reported.
+ */
+class GuaranteeCheckTests {
+
+	private static final Deployment.Domain DOMAIN = new Deployment.Domain("a", "a");
+
+	private static final Deployment.Instance ENGINE = new Deployment.Instance("engine-1", DOMAIN,
+			Optional.of(new Deployment.Service("model", true, 1, 2, 16, 1_000, 2)));
+
+	private static final LoadRequest ORDER = LoadRequest.post("o1", Workload.ORDER, "/orders", "{}", AnswerCheck.NONE);
+
+	private final FaultHistory history = new FaultHistory();
+
+	private final Violations violations = new Violations();
+
+	private final TargetChecks targets = new TargetChecks(Map.of("v1", "d1"), this.history, this.violations);
+
+	private void run(long atMillis, String digest, int running, boolean cold) {
+		ObjectNode request = JsonNodeFactory.instance.objectNode();
+		request.put("arrived_ms", atMillis).put("at_ms", atMillis).put("version", "v1").put("digest", digest);
+		request.put("running", running).put("cold", cold).put("cold_ms", 100);
+		this.targets.add(ENGINE, request.put("body_digest", Digests.of(ORDER.body())));
+	}
+
+	private void episode(FaultKind kind, long from, long to, String... subjects) {
+		FaultHistory.Episode episode = new FaultHistory.Episode(kind, from);
+		episode.subjects(Set.of(subjects));
+		episode.close(to);
+		this.history.add(episode);
+	}
+
+	private static FaultRequest request(LoadOutcome outcome, int status, long sent) {
+		return new FaultRequest(ORDER,
+				List.of(new FaultRequest.Attempt("entry-1", sent, sent + 100, status, outcome, "")));
+	}
+
+	private int found(Guarantee guarantee) {
+		return this.violations.count(guarantee);
+	}
+
+	@Nested
+	class Records {
+
+		// Guards against a check that accepts other bytes under a published version.
+		@Test
+		void weightsMustBeThePublishedOnes() {
+			run(1_000, "d1", 1, false);
+			run(1_000, "d2", 1, false);
+			GuaranteeCheckTests.this.targets.checkAll(List.of(), List.of());
+			assertThat(found(Guarantee.WEIGHTS), equalTo(1));
+		}
+
+		// Guards against a check that blames the agent for a cold state nobody announced.
+		@Test
+		void coldLimitHoldsUnlessTheEngineTurnedColdWithoutASign() {
+			run(1_000, "d1", 3, true);
+			run(9_000, "d1", 3, true);
+			run(9_000, "d1", 2, true);
+			episode(FaultKind.ENGINE_COLD, 8_900, 9_500, "engine-1");
+			GuaranteeCheckTests.this.targets.checkAll(List.of(), List.of());
+			assertThat(found(Guarantee.COLD), equalTo(1));
+		}
+
+		// Guards against a check that misses late work or blames a domain that was cut
+		// off.
+		@Test
+		void noWorkAfterADomainIsOut() {
+			run(14_900, "d1", 1, false);
+			run(15_500, "d1", 1, false);
+			run(31_000, "d1", 1, false);
+			GuaranteeCheckTests.this.targets.checkAll(List.of(new FaultRules.Out("a", 11_000, 30_000)), List.of());
+			assertThat(found(Guarantee.DOMAIN_OUT), equalTo(1));
+			episode(FaultKind.LINK_CUT, 10_000, 16_000, "a", "b");
+			GuaranteeCheckTests.this.targets.checkAll(List.of(new FaultRules.Out("a", 11_000, 30_000)), List.of());
+			assertThat(found(Guarantee.DOMAIN_OUT), equalTo(1));
+		}
+
+		// Guards against a check that misses work on a target that is leaving.
+		@Test
+		void noWorkOnALeavingTarget() {
+			run(4_500, "d1", 1, false);
+			GuaranteeCheckTests.this.history.leaving(new FaultHistory.Leaving("engine-1", 0, 5_000));
+			GuaranteeCheckTests.this.targets.checkAll(List.of(), List.of());
+			assertThat(found(Guarantee.LEAVING), equalTo(1));
+		}
+
+		// Guards against checks that miss a doubled order or a refusal that was a lie.
+		@Test
+		void ordersRunAtMostOnceAndNotWhenRefused() {
+			run(1_000, "d1", 1, false);
+			run(2_000, "d1", 1, false);
+			GuaranteeCheckTests.this.targets.checkAll(List.of(), List.of(request(LoadOutcome.REFUSED, 503, 900)));
+			assertThat(found(Guarantee.AT_MOST_ONCE), equalTo(1));
+			assertThat(found(Guarantee.NOT_RUN), equalTo(1));
+		}
+
+		// Guards against a check that accepts an answer to a request that never ran.
+		@Test
+		void answeredRequestsWereRun() {
+			GuaranteeCheckTests.this.targets.checkAll(List.of(), List.of(request(LoadOutcome.WHOLE, 200, 900)));
+			assertThat(found(Guarantee.ANSWER), equalTo(1));
+		}
+
+	}
+
+	@Nested
+	class Callers {
+
+		// Guards against a check that misses a connection closed by an entry that shuts
+		// down.
+		@Test
+		void shutdownAbortsNothing() {
+			GuaranteeCheckTests.this.history.shutdown(new FaultHistory.Shutdown("entry-1", 1_000, 5_000, 0));
+			new CallerChecks(GuaranteeCheckTests.this.history, GuaranteeCheckTests.this.violations)
+				.checkAll(List.of(request(LoadOutcome.LOST, 0, 2_000), request(LoadOutcome.LOST, 0, 7_000),
+						request(LoadOutcome.REFUSED, 503, 2_000), request(LoadOutcome.WRONG, 200, 9_000)));
+			assertThat(found(Guarantee.SHUTDOWN), equalTo(1));
+			assertThat(found(Guarantee.ANSWER), equalTo(1));
+		}
+
+	}
+
+	@Nested
+	class Revisions {
+
+		private void check(RevisionWatch.Seen... seen) {
+			new RevisionChecks(GuaranteeCheckTests.this.history, (instance) -> "a", GuaranteeCheckTests.this.violations)
+				.checkAll(List.of(new FaultRules.Accepted(5, 10_000)), List.of(seen), 0);
+		}
+
+		private RevisionWatch.Seen seen(long atMillis, long revision) {
+			return new RevisionWatch.Seen("entry-1", 1, atMillis, atMillis + 5, revision);
+		}
+
+		// Guards against a check that misses a process that is behind.
+		@Test
+		void acceptedChangesAreInForceInTime() {
+			check(seen(13_000, 4), seen(13_600, 4));
+			assertThat(found(Guarantee.CONFIGURATION), equalTo(1));
+		}
+
+		// Guards against blaming the fleet for the time that a store in outage takes.
+		@Test
+		void aStoreThatFailsAfterAcceptanceAllowsMoreTime() {
+			episode(FaultKind.STORE_OUTAGE, 10_500, 14_000);
+			check(seen(19_000, 4));
+			assertThat(found(Guarantee.CONFIGURATION), equalTo(0));
+			check(seen(19_600, 4));
+			assertThat(found(Guarantee.CONFIGURATION), equalTo(1));
+		}
+
+		// Guards against a check that misses a process that goes back to an older
+		// revision.
+		@Test
+		void revisionsNeverRevert() {
+			check(seen(11_000, 6), seen(11_500, 5));
+			assertThat(found(Guarantee.CONFIGURATION), equalTo(1));
+		}
+
+	}
+
+}
