Test the entry over real sockets and repair what the tests found

Against scripted agents: large bodies both ways, pipelining, answers out of order, refusals, lost connections with each resolution, interrupted and shortened answers, callers that disappear or stop reading, deadlines, drain, 18 malformed requests and slow heads. Found and repaired: a read asked for during a read was lost and stalled bodies above the credit; a Content-Length that is no number closed the connection without an answer; streaming answers closed their connection; a question about a lost request named the incarnation of the new connection instead of that of the attempt.

--- a/daemon/src/main/java/org/baobabknot/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerHandler.java
@@ -69,6 +69,9 @@
 
 	private boolean reading;
 
+	/** Asked for during a read, to be done after it. */
+	private boolean wanted;
+
 	private boolean draining;
 
 	private boolean flushing;
@@ -117,9 +120,11 @@
 	@Override
 	public void channelReadComplete(ChannelHandlerContext from) {
 		this.reading = false;
+		boolean again = this.wanted;
+		this.wanted = false;
 		// While an exchange is open one read stays pending, so that a caller that
 		// disappears is noticed; what it delivers instead waits.
-		if (this.state == State.IDLE || this.state == State.DISCARDING
+		if (again || this.state == State.IDLE || this.state == State.DISCARDING
 				|| (this.requestEnded && this.waiting.isEmpty())) {
 			read();
 		}
@@ -235,6 +240,7 @@
 			return;
 		}
 		FullHttpResponse response = problem.response(requestId);
+		this.keepAlive &= this.requestEnded || this.smallBody;
 		if (!requestId.isEmpty()) {
 			response.headers().set("X-Request-Id", requestId);
 		}
@@ -283,15 +289,16 @@
 	}
 
 	private void head(HttpRequest head) {
-		long length = HttpUtil.getContentLength(head, 0L);
+		boolean valid = head.decoderResult().isSuccess();
+		long length = (valid) ? HttpUtil.getContentLength(head, 0L) : 0;
 		boolean chunked = HttpUtil.isTransferEncodingChunked(head);
 		this.requestEnded = length == 0 && !chunked;
 		this.smallBody = !chunked && length <= DISCARDED_BYTES && !HttpUtil.is100ContinueExpected(head);
 		this.bodyBytes = 0;
 		this.partOfHead = false;
 		this.requests++;
-		this.keepAlive = HttpUtil.isKeepAlive(head) && head.decoderResult().isSuccess();
-		FullHttpResponse health = (head.decoderResult().isSuccess()) ? this.server.health(head.uri()) : null;
+		this.keepAlive = valid && HttpUtil.isKeepAlive(head);
+		FullHttpResponse health = (valid) ? this.server.health(head.uri()) : null;
 		if (health != null) {
 			this.state = State.EXCHANGE;
 			prepare(health);
@@ -354,6 +361,7 @@
 			next();
 			return;
 		}
+		this.keepAlive &= this.smallBody;
 		this.state = State.DISCARDING;
 		long request = this.requests;
 		eventLoop().schedule(() -> {
@@ -381,7 +389,7 @@
 	}
 
 	private void prepare(HttpResponse response) {
-		if ((!this.requestEnded && !this.smallBody) || this.draining || this.server.closing()) {
+		if (this.draining || this.server.closing()) {
 			this.keepAlive = false;
 		}
 		if (!this.keepAlive) {
@@ -403,10 +411,12 @@
 	}
 
 	private void read() {
-		if (!this.reading) {
-			this.reading = true;
-			context().read();
+		if (this.reading) {
+			this.wanted = true;
+			return;
 		}
+		this.reading = true;
+		context().read();
 	}
 
 	private void progress() {
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -55,6 +55,9 @@
 
 	private int attempts;
 
+	/** Incarnation of the agent that got the last attempt. */
+	private long incarnation;
+
 	private boolean begun;
 
 	private boolean waitingForCredit;
@@ -124,8 +127,14 @@
 	 * @param problem the problem
 	 */
 	void refuse(Problem problem) {
-		if (!this.done && !this.answerStarted) {
-			end("refused", "refused by the entry");
+		if (this.done) {
+			return;
+		}
+		end("refused", "refused by the entry");
+		if (this.answerStarted) {
+			this.caller.abortAnswer();
+		}
+		else {
 			this.caller.answer(problem, this.request.idText());
 		}
 	}
@@ -194,6 +203,7 @@
 		this.attempts++;
 		Attempt next = new Attempt(this, this.caller.eventLoop(), choice.get().agent(), this.forwarding.now(), false);
 		this.attempt = next;
+		this.incarnation = connection.get().peer().getIncarnation();
 		this.forwarding.started(next.agent());
 		next.opened(connection.get()
 			.open(this.forwarding.start(this.request, this.body, connection.get(), this.forwarding.now()), next));
@@ -362,7 +372,7 @@
 			decide(question, AttemptOutcome.UNKNOWN, agent + " is gone; the request may have run");
 			return;
 		}
-		question.opened(connection.open(this.forwarding.question(this.request, this.body, connection), question));
+		question.opened(connection.open(this.forwarding.question(this.request, this.body, this.incarnation), question));
 	}
 
 	private void finish(Attempt from, boolean success) {
--- a/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
@@ -142,11 +142,11 @@
 		return Frame.newBuilder().setRequestStart(start);
 	}
 
-	Frame.Builder question(CallerRequest request, RequestBody body, Connection connection) {
+	Frame.Builder question(CallerRequest request, RequestBody body, long incarnation) {
 		this.metrics.resolve();
 		Resolve.Builder resolve = Resolve.newBuilder()
 			.setRequestId(request.id())
-			.setAgentIncarnation(connection.peer().getIncarnation())
+			.setAgentIncarnation(incarnation)
 			.setService(request.service())
 			.setIdempotencyKey(request.key());
 		if (request.claimed()) {
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryFixture.java
@@ -0,0 +1,105 @@
+package org.baobabknot.entry;
+
+import java.io.IOException;
+import java.net.URI;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.baobabknot.configuration.Revision;
+import org.baobabknot.daemon.Daemon;
+import org.baobabknot.membership.Member;
+import org.baobabknot.membership.MemberRole;
+import org.baobabknot.membership.MemberState;
+import org.baobabknot.membership.MemberUpdate;
+import org.baobabknot.rules.RulesReader;
+import org.baobabknot.rules.RulesResult;
+import org.baobabknot.settings.ProcessRole;
+import org.baobabknot.settings.Settings;
+
+/**
+ * One entry and the agents that it is connected to. The platform's services are down, so
+ * rules and members are set directly.
+ */
+final class EntryFixture implements AutoCloseable {
+
+	static final String RULES = """
+			model s v1 sha256:%s # test: needed
+			workspace w s # test: needed
+			once s POST /orders # test: needed
+			""".formatted("0".repeat(64));
+
+	final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	final List<FakeAgent> agents = new ArrayList<>();
+
+	final Daemon daemon;
+
+	EntryFixture(int count) throws IOException {
+		this(count, new Settings.Http("127.0.0.1", 0, 64, 4096, 1 << 20, 400, 400, 60_000));
+	}
+
+	EntryFixture(int count, Settings.Http http) throws IOException {
+		this.daemon = new Daemon(settings(http), EntryRole::new);
+		this.daemon.start().join();
+		RulesResult rules = new RulesReader().read(RULES);
+		this.daemon.node()
+			.configuration()
+			.adopt(new Revision(1, "c1", "test", Instant.EPOCH, RULES, ((RulesResult.Accepted) rules).rules()));
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			FakeAgent agent = new FakeAgent(this.group, "agent" + i);
+			this.agents.add(agent);
+			members.add(
+					new Member(agent.name, MemberRole.AGENT, "d", "r", "127.0.0.1", agent.port, "s", MemberState.LIVE));
+		}
+		this.daemon.node().membership().apply(MemberUpdate.full(1, members));
+		await(() -> this.daemon.node().peers().count() == count);
+	}
+
+	int port() {
+		return ((EntryRole) this.daemon.role()).address().getPort();
+	}
+
+	RawCaller caller() throws IOException {
+		return new RawCaller(port());
+	}
+
+	static void await(BooleanSupplier condition) {
+		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - limit > 0) {
+				throw new AssertionError("the condition did not become true within 20 s");
+			}
+			try {
+				Thread.sleep(5);
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.daemon.close();
+		this.agents.forEach((agent) -> agent.acceptor.close());
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+	private static Settings settings(Settings.Http http) {
+		URI closed = URI.create("http://127.0.0.1:1");
+		return new Settings(ProcessRole.ENTRY, "entry1", "d", "r", new Settings.Address("127.0.0.1", 0),
+				new Settings.Operator("127.0.0.1", 0, Optional.empty()), Optional.of(http),
+				new Settings.Platform(closed, closed, Optional.empty()), Optional.empty(), Optional.empty(),
+				new Settings.Links(1, 1), new Settings.Limits(2, 16, 16, 1, 16, 64),
+				new Settings.Timeouts(5_000, 60_000, 300, 10_000, 200, 60_000));
+	}
+
+}
--- a/protocol/src/main/java/org/baobabknot/protocol/Connection.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Connection.java
@@ -199,7 +199,7 @@
 		if (eventLoop().inEventLoop()) {
 			closeInLoop(failure);
 		}
-		else {
+		else if (!eventLoop().isShuttingDown()) {
 			eventLoop().execute(() -> closeInLoop(failure));
 		}
 	}
--- a/protocol/src/main/java/org/baobabknot/protocol/Stream.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Stream.java
@@ -179,6 +179,11 @@
 				return false;
 			}
 		}
+		if (this.closing && frame.hasCancel()) {
+			this.waiting.clear();
+			this.connection.forget(this);
+			return true;
+		}
 		FrameHandler to = this.handler;
 		if (to != null && !this.closing) {
 			to.received(this, frame);
