--- a/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
@@ -12,6 +12,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
+import org.baobabknot.agent.AgentRole;
 import org.baobabknot.entry.EntryRole;
 import org.baobabknot.observe.JsonLines;
 import org.baobabknot.settings.ProcessRole;
@@ -127,9 +128,7 @@
 	}
 
 	private static Function<Node, Role> role(ProcessRole role) {
-		return (role == ProcessRole.ENTRY) ? EntryRole::new : (node) -> {
-			throw new IllegalStateException("the agent role is not part of this build");
-		};
+		return (role == ProcessRole.ENTRY) ? EntryRole::new : AgentRole::new;
 	}
 
 	private static String versionText() {
