Add the failure domain experiment with its baseline

Targets of the domain are switched off 4 s after the change and return cold. The baseline, round robin with blind retry, meets the same targets, load and times in the same run.

--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/DomainExperiment.java
@@ -0,0 +1,222 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.baobabknot.load.BlindRoundRobin;
+import org.baobabknot.load.HttpCaller;
+import org.baobabknot.load.LoadGenerator;
+import org.baobabknot.load.LoadOutcome;
+import org.baobabknot.load.LoadReport;
+import org.baobabknot.load.LoadRequest;
+import org.baobabknot.load.ReadinessBalancer;
+import org.baobabknot.load.RequestSender;
+import org.baobabknot.load.Workload;
+
+/**
+ * A failure domain leaves and returns under load. Its targets are switched off 4 s after
+ * the change and are cold when they return. The baseline meets the same targets, the same
+ * load and the same times directly.
+ */
+final class DomainExperiment implements Subcommand {
+
+	private static final long LATE_AFTER_MILLIS = 3_000;
+
+	private static final long OFF_AFTER_MILLIS = 4_000;
+
+	private static final int TOKENS = 10;
+
+	private ExperimentContext context;
+
+	private Fleet fleet;
+
+	private RulesText rules;
+
+	private long seed;
+
+	private double rate;
+
+	private long phaseMillis;
+
+	@Override
+	public void declare(OptionParser parser) {
+		parser.accepts("seed", "seed of model content and load").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+		parser.accepts("rate", "requests per second").withRequiredArg().ofType(Integer.class).defaultsTo(200);
+		parser.accepts("phase-seconds", "length of each phase").withRequiredArg().ofType(Integer.class).defaultsTo(8);
+		parser.accepts("entries", "number of entries").withRequiredArg().ofType(Integer.class).defaultsTo(6);
+		parser.accepts("engines", "number of engines").withRequiredArg().ofType(Integer.class).defaultsTo(9);
+	}
+
+	@Override
+	public Outcome run(OptionSet options, ExperimentContext running) throws Exception {
+		this.context = running;
+		this.seed = (Long) options.valueOf("seed");
+		this.rate = (Integer) options.valueOf("rate");
+		this.phaseMillis = 1000L * (Integer) options.valueOf("phase-seconds");
+		Deployment deployment = Deployment.landshut()
+			.sized((Integer) options.valueOf("entries"), (Integer) options.valueOf("engines"));
+		this.fleet = Fleet.start(running, deployment, FleetOptions.small().withSeed(this.seed).withOptimizer());
+		this.rules = new RulesText(deployment).model(Fleet.FIRST_VERSION,
+				this.fleet.manifestDigest(Fleet.FIRST_VERSION));
+		apply();
+		this.fleet.tool().run("replicas", "--wait", "--wait-seconds", "60").orFail();
+		ObjectNode figures = JsonNodeFactory.instance.objectNode();
+		figures.put("experiment", "domain").put("seed", this.seed).put("rate", this.rate);
+		try (HttpCaller caller = new HttpCaller(2, 30_000)) {
+			Result system = withSystem(caller);
+			system.write(figures);
+			Result baseline = withBaseline(caller);
+			baseline.write(figures.putObject("baseline"));
+			return new Outcome(figures, system.failed() == 0 && system.late() == 0);
+		}
+	}
+
+	private long apply() {
+		Path file = this.context.launcher().writeText("rules.txt", this.rules.text());
+		return this.fleet.tool().run("apply", file.toString(), "--wait").orFail().path("accepted_at_ms").asLong();
+	}
+
+	private Result withSystem(HttpCaller caller) throws IOException, InterruptedException {
+		String domain = this.fleet.deployment().domains().get(1).name();
+		try (ReadinessBalancer balancer = new ReadinessBalancer(caller, this.fleet.callerAddresses(), 500)) {
+			TimeUnit.MILLISECONDS.sleep(2_000);
+			RequestSender sender = (request) -> caller.send(balancer.next(), request);
+			return measure("system", sender, "/" + service(), domain, (inService) -> {
+				this.rules.domain(domain, inService);
+				return apply();
+			});
+		}
+	}
+
+	private Result withBaseline(HttpCaller caller) throws IOException, InterruptedException {
+		List<InetSocketAddress> targets = this.fleet.deployment()
+			.instances()
+			.stream()
+			.filter((instance) -> instance.service().filter(Deployment.Service::engine).isPresent())
+			.map((instance) -> this.fleet.targetAddress(instance.name()))
+			.toList();
+		TimeUnit.MILLISECONDS.sleep(3_000);
+		String domain = this.fleet.deployment().domains().get(1).name();
+		return measure("baseline", new BlindRoundRobin(caller, targets), "", domain,
+				(inService) -> System.currentTimeMillis());
+	}
+
+	private String service() {
+		return this.fleet.deployment().modelService().name();
+	}
+
+	private Result measure(String name, RequestSender sender, String prefix, String domain, Change change)
+			throws IOException, InterruptedException {
+		LoadReport report = new LoadReport();
+		LoadGenerator generator = new LoadGenerator(sender, report);
+		Supplier<LoadRequest> source = new Workload(name, this.fleet.deployment().workspaces(), this.fleet.digests(),
+				new Random(this.seed))
+			.completions(service(), TOKENS, 0.25);
+		Thread load = new Thread(() -> generator.openLoop(this.rate, TimeUnit.MINUTES.toMillis(10),
+				new Random(this.seed + 1), () -> withPrefix(source.get(), prefix)), "load");
+		load.setDaemon(true);
+		load.start();
+		// The first seconds open connections and compile code.
+		TimeUnit.MILLISECONDS.sleep(this.phaseMillis / 2);
+		long start = System.nanoTime();
+		TimeUnit.MILLISECONDS.sleep(this.phaseMillis);
+		this.context.report("%s: %s leaves", name, domain);
+		long leaving = System.nanoTime();
+		long out = change.inService(false);
+		TimeUnit.MILLISECONDS.sleep(Math.max(0, out + OFF_AFTER_MILLIS - System.currentTimeMillis()));
+		targets(domain, JsonNodeFactory.instance.objectNode().put("kind", "outage").put("drop", true));
+		TimeUnit.MILLISECONDS.sleep(Math.max(0, out + this.phaseMillis - System.currentTimeMillis()));
+		this.context.report("%s: %s returns", name, domain);
+		long end = System.currentTimeMillis();
+		for (Deployment.Instance instance : engines(domain)) {
+			this.fleet.clearFaults(instance.name());
+		}
+		targets(domain, JsonNodeFactory.instance.objectNode().put("kind", "cold").put("drop", true));
+		change.inService(true);
+		TimeUnit.MILLISECONDS.sleep(this.phaseMillis / 2);
+		long returned = System.nanoTime();
+		TimeUnit.MILLISECONDS.sleep(this.phaseMillis);
+		generator.stop();
+		load.join();
+		report.faults().forEach((fault, count) -> this.context.report("%s: %d times: %s", name, count, fault));
+		long late = TargetRecords.read(this.fleet).begun(domain, out + LATE_AFTER_MILLIS, end);
+		return new Result(report, late, new long[] { start, leaving, returned, System.nanoTime() });
+	}
+
+	private static LoadRequest withPrefix(LoadRequest request, String prefix) {
+		String path = prefix + request.path().substring(request.path().indexOf('/', 1));
+		return new LoadRequest(request.id(), request.kind(), request.method(), path, request.headers(), request.body(),
+				request.check());
+	}
+
+	private void targets(String domain, ObjectNode fault) throws IOException, InterruptedException {
+		for (Deployment.Instance instance : engines(domain)) {
+			this.fleet.fault(instance.name(), fault);
+		}
+	}
+
+	private List<Deployment.Instance> engines(String domain) {
+		return this.fleet.deployment()
+			.instances()
+			.stream()
+			.filter((instance) -> instance.domain().name().equals(domain))
+			.filter((instance) -> instance.service().filter(Deployment.Service::engine).isPresent())
+			.toList();
+	}
+
+	/**
+	 * Takes the failure domain out or back.
+	 */
+	@FunctionalInterface
+	private interface Change {
+
+		/**
+		 * Makes the change.
+		 * @param inService whether the domain is to be in service
+		 * @return time of acceptance in milliseconds since the epoch
+		 */
+		long inService(boolean inService);
+
+	}
+
+	/**
+	 * Figures of one pass.
+	 *
+	 * @param report all requests
+	 * @param late requests begun in the failure domain 3 s after acceptance
+	 * @param times monotonic times of the start, the departure, the return and the end
+	 */
+	private record Result(LoadReport report, long late, long[] times) {
+
+		int failed() {
+			return this.report.count(LoadOutcome.LOST) + this.report.count(LoadOutcome.WRONG)
+					+ this.report.count(LoadOutcome.UNKNOWN);
+		}
+
+		void write(ObjectNode node) {
+			node.put("sent", this.report.sent())
+				.put("failed", failed())
+				.put("wrong", this.report.count(LoadOutcome.WRONG))
+				.put("refused", this.report.count(LoadOutcome.REFUSED))
+				.put("late", this.late)
+				.put("p99_ms_before", p99(0))
+				.put("p99_ms_during", p99(1))
+				.put("p99_ms_after", p99(2));
+		}
+
+		private double p99(int phase) {
+			return this.report.between(this.times[phase], this.times[phase + 1]).latencyMillis(99);
+		}
+
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -13,6 +13,9 @@
 	/** Latency added by entry and agent. */
 	LATENCY("measures the latency that entry and agent add to a target", LatencyExperiment::new),
 
+	/** A failure domain leaves and returns. */
+	DOMAIN("takes a failure domain out and back under load, with a baseline in the same run", DomainExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
 
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/load/BlindRoundRobin.java
@@ -0,0 +1,57 @@
+package org.baobabknot.load;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Baseline: sends each request to the next target in turn and tries the following ones
+ * after any failure, without knowledge of load, cold starts or failure domains.
+ */
+public final class BlindRoundRobin implements RequestSender {
+
+	private static final int ATTEMPTS = 3;
+
+	private final HttpCaller caller;
+
+	private final List<InetSocketAddress> targets;
+
+	private final AtomicInteger turn = new AtomicInteger();
+
+	private final AtomicInteger attempts = new AtomicInteger();
+
+	/**
+	 * Creates a balancer.
+	 * @param caller sends the attempts
+	 * @param targets addresses of all targets
+	 */
+	public BlindRoundRobin(HttpCaller caller, List<InetSocketAddress> targets) {
+		this.caller = caller;
+		this.targets = List.copyOf(targets);
+	}
+
+	@Override
+	public CompletableFuture<Answer> send(LoadRequest request) {
+		return attempt(request, 1);
+	}
+
+	private CompletableFuture<Answer> attempt(LoadRequest request, int number) {
+		this.attempts.incrementAndGet();
+		InetSocketAddress target = this.targets.get(Math.floorMod(this.turn.getAndIncrement(), this.targets.size()));
+		return this.caller.send(target, request).thenCompose((answer) -> {
+			boolean failed = !answer.whole() || answer.status() >= 500;
+			return (failed && number < ATTEMPTS) ? attempt(request, number + 1)
+					: CompletableFuture.completedFuture(answer);
+		});
+	}
+
+	/**
+	 * Returns the number of requests sent, with repetitions.
+	 * @return attempts so far
+	 */
+	public int attempts() {
+		return this.attempts.get();
+	}
+
+}
