Add the throughput experiment

Rates per core divide requests or events by the CPU time of the entry or agent process, so that the load generator and the engine on the same machine do not count. Compiled only; not run yet.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -16,6 +16,9 @@
 	/** A failure domain leaves and returns. */
 	DOMAIN("takes a failure domain out and back under load, with a baseline in the same run", DomainExperiment::new),
 
+	/** Requests and events per second per core. */
+	THROUGHPUT("measures requests and streamed events per second per core, and memory", ThroughputExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
 
