--- a/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -68,19 +68,26 @@
 	}
 
 	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output, PrintStream progress) {
-		ProcessLauncher launcher = ProcessLauncher.forRepository();
-		try (launcher) {
+		try (ProcessLauncher launcher = ProcessLauncher.forRepository()) {
 			if (options.has("keep-logs")) {
 				launcher.keepFolder();
 				progress.println("settings and logs: " + launcher.folder());
 			}
-			Outcome outcome = subcommand.run(options, new ExperimentContext(launcher, progress));
+			return measure(subcommand, options, output, new ExperimentContext(launcher, progress));
+		}
+	}
+
+	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output,
+			ExperimentContext context) {
+		try {
+			Outcome outcome = subcommand.run(options, context);
 			output.println(outcome.figures().toString());
 			return outcome.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
-			if (!launcher.closing()) {
-				ex.printStackTrace(progress);
+			// Processes that end on an interruption make the experiment fail as well.
+			if (!context.launcher().closing()) {
+				ex.printStackTrace(context.progress());
 			}
 			return FAILED;
 		}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -27,6 +27,8 @@
 
 	private static final String DAEMON_MAIN = "org.baobabknot.daemon.Baobabknotd";
 
+	private static final String PEER_MAIN = "org.baobabknot.experiment.PeerHost";
+
 	private static final String TOKEN = "operator-token-of-this-run";
 
 	private static final List<String> OPTIMIZER = List.of("-XX:TieredStopAtLevel=4", "-XX:CICompilerCount=3");
@@ -73,13 +75,30 @@
 		Fleet fleet = new Fleet(context, deployment, options);
 		fleet.startStandins();
 		fleet.writeSettings();
+		List<String> hosted = new ArrayList<>();
 		for (Deployment.Instance instance : deployment.instances()) {
-			fleet.startProcess(instance.name());
+			if (options.hosted() && !instance.name().endsWith("-1")) {
+				hosted.add(String.valueOf(fleet.settings.get(instance.name())));
+			}
+			else {
+				fleet.startProcess(instance.name());
+			}
+		}
+		if (!hosted.isEmpty()) {
+			fleet.processes.put("peers", context.launcher()
+				.start("peers", PEER_MAIN, List.of("-Xmx3g", OPTIMIZER.get(0), OPTIMIZER.get(1)), hosted));
 		}
 		fleet.awaitHealthy();
 		return fleet;
 	}
 
+	/**
+	 * Ends all processes of this fleet, so that another one can start.
+	 */
+	public void stop() {
+		this.context.launcher().stop(List.copyOf(this.processes.values()));
+	}
+
 	private void startStandins() throws IOException, InterruptedException {
 		Path file = this.context.launcher().writeJson("standins.json", this.plan.standinSettings(this.options.seed()));
 		LaunchedProcess process = this.context.launcher()
@@ -194,7 +213,7 @@
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
 		for (Deployment.Instance instance : this.plan.deployment().instances()) {
 			while (!healthy(instance)) {
-				LaunchedProcess process = process(instance.name());
+				LaunchedProcess process = hostOf(instance);
 				if (!process.alive() || System.nanoTime() - end > 0) {
 					throw new IOException(instance.name() + " did not start: " + process.logText());
 				}
@@ -203,6 +222,10 @@
 		}
 	}
 
+	private LaunchedProcess hostOf(Deployment.Instance instance) {
+		return process(this.processes.containsKey(instance.name()) ? instance.name() : "peers");
+	}
+
 	private boolean healthy(Deployment.Instance instance) throws InterruptedException {
 		int port = this.plan.ports(instance.name()).operator();
 		try {
@@ -370,6 +393,21 @@
 		this.control.send("DELETE", url(standin) + "/fault", JsonNodeFactory.instance.objectNode());
 	}
 
+	/**
+	 * Writes a value into the store, as the operator tool does.
+	 * @param key the key
+	 * @param expectedVersion version for compare-and-swap
+	 * @param value the value
+	 * @return the new version
+	 * @throws IOException when the store refuses
+	 * @throws InterruptedException when interrupted
+	 */
+	public long write(String key, long expectedVersion, JsonNode value) throws IOException, InterruptedException {
+		return this.control.send("PUT", url(FleetPlan.STORE) + "/v1/kv/" + key + "?expect=" + expectedVersion, value)
+			.path("version")
+			.asLong();
+	}
+
 	private String url(String standin) {
 		return this.plan.standinUrl(standin);
 	}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FleetOptions.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FleetOptions.java
@@ -10,16 +10,18 @@
  * @param seed seed of the content of the first model version
  * @param optimized whether the processes use the optimizing compiler, which costs CPU
  * time at the start and is needed to measure speed
+ * @param hosted whether all entries and agents but the first of each kind run as peers in
+ * one process
  */
 public record FleetOptions(boolean tls, int threads, int heapMegabytes, int balancerLagMillis, long seed,
-		boolean optimized) {
+		boolean optimized, boolean hosted) {
 
 	/**
 	 * Returns options for about 30 processes on one machine.
 	 * @return plain TCP, one event loop and 64 MB each
 	 */
 	public static FleetOptions small() {
-		return new FleetOptions(false, 1, 64, 1_500, 1, false);
+		return new FleetOptions(false, 1, 64, 1_500, 1, false, false);
 	}
 
 	/**
@@ -28,7 +30,7 @@
 	 */
 	public FleetOptions withTls() {
 		return new FleetOptions(true, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed,
-				this.optimized);
+				this.optimized, this.hosted);
 	}
 
 	/**
@@ -38,7 +40,7 @@
 	 */
 	public FleetOptions withSeed(long changed) {
 		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, changed,
-				this.optimized);
+				this.optimized, this.hosted);
 	}
 
 	/**
@@ -48,7 +50,8 @@
 	 * @return a changed copy
 	 */
 	public FleetOptions withSize(int loops, int megabytes) {
-		return new FleetOptions(this.tls, loops, megabytes, this.balancerLagMillis, this.seed, this.optimized);
+		return new FleetOptions(this.tls, loops, megabytes, this.balancerLagMillis, this.seed, this.optimized,
+				this.hosted);
 	}
 
 	/**
@@ -56,7 +59,18 @@
 	 * @return a changed copy
 	 */
 	public FleetOptions withOptimizer() {
-		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed, true);
+		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed, true,
+				this.hosted);
+	}
+
+	/**
+	 * Returns these options with all instances but the first entry and the first agent in
+	 * one process.
+	 * @return a changed copy
+	 */
+	public FleetOptions withHostedPeers() {
+		return new FleetOptions(this.tls, this.threads, this.heapMegabytes, this.balancerLagMillis, this.seed,
+				this.optimized, true);
 	}
 
 }
--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -45,6 +45,8 @@
 
 	private volatile boolean keepFolder;
 
+	private volatile boolean detached;
+
 	/**
 	 * Creates a launcher with a new temporary folder.
 	 * @param root the root folder of the repository
@@ -190,8 +192,7 @@
 	}
 
 	/**
-	 * Ends all processes: SIGTERM to all, then SIGKILL to those that still run after the
-	 * grace time. Stopped processes are continued first, so that they receive SIGTERM.
+	 * Ends all processes and starts none any more.
 	 */
 	public void stopAll() {
 		List<LaunchedProcess> ending;
@@ -199,6 +200,15 @@
 			this.closing = true;
 			ending = List.copyOf(this.processes);
 		}
+		stop(ending);
+	}
+
+	/**
+	 * Ends processes: SIGTERM to all, then SIGKILL to those that still run after the
+	 * grace time. Stopped processes are continued first, so that they receive SIGTERM.
+	 * @param ending the processes
+	 */
+	public void stop(List<LaunchedProcess> ending) {
 		for (LaunchedProcess process : ending) {
 			if (process.alive()) {
 				process.signal("CONT");
@@ -214,15 +224,18 @@
 	}
 
 	/**
-	 * Leaves the processes running when this process ends.
+	 * Leaves the processes and the folder when this process ends.
 	 */
 	public void detach() {
 		Runtime.getRuntime().removeShutdownHook(this.endAll);
-		this.keepFolder = true;
+		this.detached = true;
 	}
 
 	@Override
 	public void close() {
+		if (this.detached) {
+			return;
+		}
 		try {
 			Runtime.getRuntime().removeShutdownHook(this.endAll);
 		}
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Series.java
@@ -0,0 +1,79 @@
+package org.baobabknot.experiment;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Measured quantities against one variable, with least-squares lines.
+ */
+final class Series {
+
+	private final String variable;
+
+	private final Map<String, List<double[]>> points = new LinkedHashMap<>();
+
+	Series(String variable) {
+		this.variable = variable;
+	}
+
+	void add(double x, String quantity, double y) {
+		this.points.computeIfAbsent(quantity, (key) -> new ArrayList<>()).add(new double[] { x, y });
+	}
+
+	/**
+	 * Writes the points and the lines.
+	 * @param node where to write
+	 */
+	void write(ObjectNode node) {
+		node.put("variable", this.variable);
+		this.points.forEach((quantity, values) -> {
+			ObjectNode entry = node.putObject(quantity);
+			double[] line = line(values);
+			entry.put("slope", rounded(line[1])).put("intercept", rounded(line[0]));
+			values.forEach((point) -> entry.withArray("points").addArray().add(point[0]).add(rounded(point[1])));
+		});
+	}
+
+	/**
+	 * Returns a plot of quantities with the same unit.
+	 * @param title the title
+	 * @param unit label of the vertical axis
+	 * @param quantities the quantities to show
+	 * @return the plot
+	 */
+	LinePlot plot(String title, String unit, String... quantities) {
+		LinePlot plot = new LinePlot(title, this.variable, unit);
+		for (String quantity : quantities) {
+			plot.add(quantity, this.points.getOrDefault(quantity, List.of()));
+		}
+		return plot;
+	}
+
+	/**
+	 * Fits a line by least squares.
+	 * @param values pairs of x and y
+	 * @return intercept and slope
+	 */
+	static double[] line(List<double[]> values) {
+		double meanX = values.stream().mapToDouble((point) -> point[0]).average().orElse(0);
+		double meanY = values.stream().mapToDouble((point) -> point[1]).average().orElse(0);
+		double products = 0;
+		double squares = 0;
+		for (double[] point : values) {
+			products += (point[0] - meanX) * (point[1] - meanY);
+			squares += (point[0] - meanX) * (point[0] - meanX);
+		}
+		double slope = (squares > 0) ? products / squares : 0;
+		return new double[] { meanY - slope * meanX, slope };
+	}
+
+	private static double rounded(double value) {
+		return (value == 0) ? 0 : Double.parseDouble(String.format(Locale.ROOT, "%.4g", value));
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -19,6 +19,9 @@
 	/** Requests and events per second per core. */
 	THROUGHPUT("measures requests and streamed events per second per core, and memory", ThroughputExperiment::new),
 
+	/** Growth of bytes, CPU time and heap. */
+	SLOPES("measures how bytes, CPU time and heap grow with peers, load, rules and changes", SlopesExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
 
--- a/benchmarks/src/main/java/org/baobabknot/quickstart/Quickstart.java
+++ b/benchmarks/src/main/java/org/baobabknot/quickstart/Quickstart.java
@@ -56,22 +56,28 @@
 	}
 
 	private static int show(Deployment deployment, OptionSet options) {
-		ProcessLauncher launcher = ProcessLauncher.forRepository();
-		try (launcher) {
+		try (ProcessLauncher launcher = ProcessLauncher.forRepository()) {
 			if (options.has("keep-logs")) {
 				launcher.keepFolder();
 				System.out.println("settings and logs: " + launcher.folder());
 			}
-			Demonstration demonstration = new Demonstration(new ExperimentContext(launcher, System.out), deployment);
+			return show(new ExperimentContext(launcher, System.out), deployment, options.has("keep"));
+		}
+	}
+
+	private static int show(ExperimentContext context, Deployment deployment, boolean keep) {
+		try {
+			Demonstration demonstration = new Demonstration(context, deployment);
 			Summary summary = demonstration.run();
-			if (options.has("keep")) {
+			if (keep) {
 				demonstration.keep();
 			}
 			summary.lines().forEach(System.out::println);
 			return summary.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
-			if (!launcher.closing()) {
+			// Processes that end on an interruption make the demonstration fail as well.
+			if (!context.launcher().closing()) {
 				System.err.println("quickstart failed: " + ex);
 			}
 			return FAILED;
