--- a/core/src/test/java/org/baobabknot/rollout/SwitchRankTests.java
+++ b/core/src/test/java/org/baobabknot/rollout/SwitchRankTests.java
@@ -64,6 +64,27 @@
 		assertThat(rank.decide(view, listed, 1, 0), instanceOf(SwitchDecision.Switch.class));
 	}
 
+	// Guards against an old DONE that counts when a version is asked for a second time.
+	@Test
+	void ignoresTheFirstRolloutOfAVersionInTheSecond() {
+		RolloutView view = new RolloutView("a", 1);
+		view.tryMerge("b", List.of(entry("b", 1, 1, RolloutPhase.DONE), entry("a", 1, 0, RolloutPhase.FETCHING)), 0);
+		RolloutKey again = view.keyFor("v2", 9);
+		assertThat(again, is(new RolloutKey("v2", 9)));
+		view.announce(again, RolloutPhase.READY, 0);
+		assertThat(new SwitchRank(1_000).decide(view, List.of("a", "b"), 1, 0), instanceOf(SwitchDecision.Wait.class));
+	}
+
+	// Guards against processes that skipped revisions and never agree on a rollout.
+	@Test
+	void adoptsTheHighestEpochCoveredByItsRevision() {
+		RolloutView view = new RolloutView("a", 1);
+		view.announce(new RolloutKey("v2", 3), RolloutPhase.DONE, 0);
+		view.tryMerge("b", List.of(entry("b", 1, 1, RolloutPhase.DONE)), 0);
+		assertThat(view.keyFor("v2", 6).epoch(), is(3L));
+		assertThat(view.keyFor("v2", 7).epoch(), is(7L));
+	}
+
 	// Guards against an agent that cannot fetch and holds up all that come after it.
 	@Test
 	void movesBackWhenNotReadyInTime() {
