--- a/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -77,9 +77,6 @@
 		}
 	}
 
-	// An error is reported before the launcher closes: when it was closing already, the
-	// run
-	// was interrupted and the error is only its consequence.
 	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output,
 			ExperimentContext context) {
 		try {
@@ -88,6 +85,7 @@
 			return outcome.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
+			// Processes that end on an interruption make the experiment fail as well.
 			if (!context.launcher().closing()) {
 				ex.printStackTrace(context.progress());
 			}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -15,6 +15,15 @@
 	/** Latency added by entry and agent. */
 	LATENCY("measures the latency that entry and agent add to a target", LatencyExperiment::new),
 
+	/** A failure domain leaves and returns. */
+	DOMAIN("takes a failure domain out and back under load, with a baseline in the same run", DomainExperiment::new),
+
+	/** Requests and events per second per core. */
+	THROUGHPUT("measures requests and streamed events per second per core, and memory", ThroughputExperiment::new),
+
+	/** Growth of bytes, CPU time and heap. */
+	SLOPES("measures how bytes, CPU time and heap grow with peers, load, rules and changes", SlopesExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
 	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new),
 
