--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultsExperiment.java
@@ -0,0 +1,82 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.baobabknot.load.LoadOutcome;
+
+/**
+ * Draws faults from a seed, lets them strike a small fleet under load and checks every
+ * guarantee of section 2.1 of the design page over the whole run.
+ */
+final class FaultsExperiment implements Subcommand {
+
+	private static final int ENTRIES = 6;
+
+	private static final int ENGINES = 6;
+
+	/**
+	 * Load without faults before the end, in which the fleet recovers.
+	 */
+	private static final long SETTLE_MILLIS = 4_000;
+
+	@Override
+	public void declare(OptionParser parser) {
+		parser.accepts("seed", "seed of all choices").withRequiredArg().ofType(Long.class).defaultsTo(1L);
+		parser.accepts("duration", "seconds in which faults begin")
+			.withRequiredArg()
+			.ofType(Integer.class)
+			.defaultsTo(60);
+		parser.accepts("kind", "strikes only with this kind of fault, such as entry-kill").withRequiredArg();
+	}
+
+	@Override
+	public Outcome run(OptionSet options, ExperimentContext context) throws Exception {
+		List<FaultKind> kinds = new ArrayList<>(List.of(FaultKind.values()));
+		if (options.has("kind")) {
+			kinds.removeIf((kind) -> !kind.toString().equals(options.valueOf("kind")));
+		}
+		if (kinds.isEmpty()) {
+			throw new IOException("no such kind of fault; known: " + List.of(FaultKind.values()));
+		}
+		return run(context, kinds, (Long) options.valueOf("seed"), (Integer) options.valueOf("duration"));
+	}
+
+	/**
+	 * Runs the experiment.
+	 * @param context the launcher and the progress output
+	 * @param kinds the faults to draw from
+	 * @param seed the seed
+	 * @param seconds time in which faults begin
+	 * @return the figures
+	 * @throws Exception when the fleet cannot be started or reached
+	 */
+	static Outcome run(ExperimentContext context, List<FaultKind> kinds, long seed, int seconds) throws Exception {
+		try (FaultRun run = FaultRun.start(context, ENTRIES, ENGINES, seed)) {
+			int faults = new FaultSequence(context, run.site(), kinds).run(TimeUnit.SECONDS.toMillis(seconds));
+			TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+			run.stopLoad();
+			return outcome(run, seed, faults);
+		}
+	}
+
+	private static Outcome outcome(FaultRun run, long seed, int faults) throws IOException, InterruptedException {
+		Violations violations = run.check();
+		List<FaultRequest> requests = run.requests();
+		long unknown = requests.stream()
+			.filter((request) -> request.outcome() == LoadOutcome.UNKNOWN || request.outcome() == LoadOutcome.LOST)
+			.count();
+		ObjectNode figures = JsonNodeFactory.instance.objectNode();
+		figures.put("experiment", "faults").put("seed", seed).put("faults", faults);
+		figures.put("requests", requests.size()).put("unknown", unknown);
+		figures.set("violations", violations.json());
+		return new Outcome(figures, violations.isEmpty());
+	}
+
+}
