Run one fault of each kind on a fleet of processes in the tests

Three entries, three engines, three order targets and one plain service run as processes; ten kinds of faults strike one at a time and every guarantee is checked over the whole run.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultKind.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultKind.java
@@ -90,6 +90,14 @@
 		return name().startsWith("ENTRY_") || name().startsWith("AGENT_") || this == TARGET_DRAIN;
 	}
 
+	/**
+	 * Tells whether the fleet recovers from this fault only by distributing weights.
+	 * @return whether it concerns the distribution
+	 */
+	boolean needsDistribution() {
+		return this == MODEL_NEW || this == MODEL_REPLACED || this == CHUNKS_CORRUPT || this == ENGINE_KILL;
+	}
+
 	boolean ofStore() {
 		return name().startsWith("STORE_");
 	}
--- /dev/null
+++ b/benchmarks/src/test/java/org/baobabknot/experiment/FaultTests.java
@@ -0,0 +1,119 @@
+package org.baobabknot.experiment;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Faults on a fleet of processes under load, one at a time. After each fault every
+ * guarantee of section 2.1 of the design page is checked over the whole run. The engines
+ * are loaded directly; faults of the distribution of weights are left to the experiment.
+ */
+class FaultTests {
+
+	private static final long SEED = 7;
+
+	private static ProcessLauncher launcher;
+
+	private static FaultRun run;
+
+	@BeforeAll
+	static void start(@TempDir Path folder) throws Exception {
+		// A root without packaged jars makes the processes use the classes under test.
+		launcher = new ProcessLauncher(folder);
+		run = FaultRun.start(context(), 3, 3, SEED, true);
+	}
+
+	private static ExperimentContext context() {
+		return new ExperimentContext(launcher, new PrintStream(System.err, true));
+	}
+
+	@AfterAll
+	static void stop() {
+		if (run != null) {
+			run.close();
+		}
+		launcher.close();
+	}
+
+	private void strike(FaultKind kind) throws Exception {
+		int before = run.requests().size();
+		new FaultSequence(context(), run.site(), List.of(kind)).strike(List.of(kind));
+		TimeUnit.MILLISECONDS.sleep(1_500);
+		assertThat(kind + " violates guarantees, see the output", run.check().isEmpty(), is(true));
+		assertThat("requests go on during " + kind, run.requests().size(), greaterThan(before));
+	}
+
+	// Guards against orders that run twice or are lost when the entry that took them
+	// dies.
+	@Test
+	void entryKilled() throws Exception {
+		strike(FaultKind.ENTRY_KILL);
+	}
+
+	// Guards against orders that run again because the agent that recorded them died.
+	@Test
+	void agentKilled() throws Exception {
+		strike(FaultKind.AGENT_KILL);
+	}
+
+	// Guards against work that a resumed agent admits by outdated rules.
+	@Test
+	void agentPaused() throws Exception {
+		strike(FaultKind.AGENT_PAUSE);
+	}
+
+	// Guards against requests that a graceful shutdown aborts.
+	@Test
+	void entryTerminated() throws Exception {
+		strike(FaultKind.ENTRY_TERM);
+	}
+
+	// Guards against new work for a target that is leaving.
+	@Test
+	void targetDrained() throws Exception {
+		strike(FaultKind.TARGET_DRAIN);
+	}
+
+	// Guards against full load on an engine that has just restarted.
+	@Test
+	void engineRestarted() throws Exception {
+		strike(FaultKind.ENGINE_RESTART);
+	}
+
+	// Guards against waiting for ever on a connection that stopped delivering data.
+	@Test
+	void linkSilent() throws Exception {
+		strike(FaultKind.LINK_SILENT);
+	}
+
+	// Guards against keyed orders that run without a claim while the store is down.
+	@Test
+	void storeDown() throws Exception {
+		strike(FaultKind.STORE_OUTAGE);
+	}
+
+	// Guards against claims and rules that are taken for refused when their answer is
+	// lost.
+	@Test
+	void storeAnswersLost() throws Exception {
+		strike(FaultKind.STORE_ANSWER_LOST);
+	}
+
+	// Guards against new work in a failure domain that is out of service.
+	@Test
+	void domainOut() throws Exception {
+		strike(FaultKind.DOMAIN_OUT);
+	}
+
+}
