--- a/daemon/src/main/java/org/baobabknot/settings/Settings.java
+++ b/daemon/src/main/java/org/baobabknot/settings/Settings.java
@@ -108,7 +108,7 @@
 	}
 
 	/**
-	 * Rates of the links, which bound bulk traffic.
+	 * Rates of the links, which bound bulk traffic; 0 stands for no bound.
 	 *
 	 * @param machineBytesPerSecond rate of the link of the instance
 	 * @param regionBytesPerSecond rate of the link between two regions
--- a/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
@@ -149,8 +149,8 @@
 
 	private Settings.Links links(Section section, boolean required) {
 		long standard = (required) ? -1 : 0;
-		Settings.Links links = new Settings.Links(section.number("machineBytesPerSecond", standard, 1, 1000 * GIBIBYTE),
-				section.number("regionBytesPerSecond", standard, 1, 1000 * GIBIBYTE));
+		Settings.Links links = new Settings.Links(section.number("machineBytesPerSecond", standard, 0, 1000 * GIBIBYTE),
+				section.number("regionBytesPerSecond", standard, 0, 1000 * GIBIBYTE));
 		section.finish();
 		return links;
 	}
