Test the dissemination between processes

Real sockets and the stand-ins of store and member list: two watchers per domain, a push while the store is down, a silent watch, 20 racing operators, invalid documents, tokens, member lists of agents, and a pause over three changes.

--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gossip/GossipTests.java
@@ -0,0 +1,304 @@
+package org.baobabknot.gossip;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import org.baobabknot.daemon.Daemon;
+import org.baobabknot.protocol.ConnectResult;
+import org.baobabknot.protocol.Connection;
+import org.baobabknot.protocol.ConnectionListener;
+import org.baobabknot.protocol.ConnectionSettings;
+import org.baobabknot.protocol.Connector;
+import org.baobabknot.protocol.LocalState;
+import org.baobabknot.protocol.ProtocolCounters;
+import org.baobabknot.protocol.generated.DrainOrder;
+import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Hello;
+import org.baobabknot.protocol.generated.Knowledge;
+import org.baobabknot.protocol.generated.RequestStart;
+import org.baobabknot.protocol.generated.Role;
+import org.baobabknot.protocol.generated.RulesValue;
+import org.baobabknot.protocol.generated.StatusPull;
+import org.baobabknot.protocol.generated.TimelinePull;
+import org.baobabknot.settings.ProcessRole;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Rules and member list between several processes.
+ */
+class GossipTests {
+
+	@TempDir
+	Path directory;
+
+	private static ConnectResult connect(GossipFleet fleet, Daemon daemon, String token) {
+		LocalState operator = new LocalState() {
+			@Override
+			public Hello hello() {
+				return Hello.newBuilder().setInstance("operator").setRole(Role.OPERATOR).setToken(token).build();
+			}
+
+			@Override
+			public Knowledge knowledge() {
+				return Knowledge.getDefaultInstance();
+			}
+		};
+		return new Connector(fleet.group, ConnectionSettings.defaults(), operator, null, new ProtocolCounters())
+			.connect("127.0.0.1", daemon.address().getPort(), new ConnectionListener() {
+			})
+			.join();
+	}
+
+	private static Connection operator(GossipFleet fleet, Daemon daemon) {
+		ConnectResult result = connect(fleet, daemon, GossipFleet.TOKEN);
+		assertThat(result, instanceOf(ConnectResult.Connected.class));
+		return ((ConnectResult.Connected) result).connection();
+	}
+
+	private static Frame ask(Connection connection, Frame.Builder question) {
+		CompletableFuture<Frame> answer = new CompletableFuture<>();
+		connection.open(question, (stream, frame) -> answer.complete(frame));
+		return answer.orTimeout(20, TimeUnit.SECONDS).join();
+	}
+
+	private static Frame.Builder push(long revision) {
+		return Frame.newBuilder()
+			.setRulesValue(RulesValue.newBuilder()
+				.setRevision(revision)
+				.setValue(ByteString.copyFrom(GossipFleet.document(revision, "c"))));
+	}
+
+	/** Changes of the rules. */
+	@Nested
+	class Rules {
+
+		// Guards against processes that only the store could tell, and against a load on
+		// the store that grows with the fleet.
+		@Test
+		void changeReachesAllProcessesAndTwoPerDomainWatch() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.write(1);
+				fleet.startDomain("a", 3, 2);
+				fleet.startDomain("b", 3, 2);
+				fleet.awaitConnected();
+				GossipFleet.await(() -> fleet.allAt(1));
+				GossipFleet.await(() -> fleet.store.record().path("pending_watches").asInt() == 4);
+				fleet.write(2);
+				GossipFleet.await(() -> fleet.allAt(2));
+			}
+		}
+
+		// Guards against a change that is lost with a store that fails right after it
+		// accepted the change, and against processes that cannot start in an outage.
+		@Test
+		void pushedChangeSpreadsWhileTheStoreIsDown() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.startDomain("a", 2, 2);
+				fleet.startDomain("b", 1, 1);
+				fleet.awaitConnected();
+				fleet.fault(fleet.store, "outage");
+				Daemon entry = fleet.daemons.get("b-entry0");
+				assertThat(ask(operator(fleet, entry), push(7)).getRulesValue().getRevision(), is(7L));
+				GossipFleet.await(() -> fleet.allAt(7));
+				fleet.start("a-agent9", ProcessRole.AGENT, "a");
+				GossipFleet.await(() -> fleet.allAt(7));
+			}
+		}
+
+		// Guards against a change that is missed because a watch has silently stopped.
+		@Test
+		void silentWatchIsBackedUpByReads() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.write(1);
+				fleet.startDomain("a", 2, 1);
+				fleet.awaitConnected();
+				GossipFleet.await(() -> fleet.allAt(1));
+				fleet.fault(fleet.store, "silent_watch");
+				fleet.write(2);
+				GossipFleet.await(() -> fleet.allAt(2));
+			}
+		}
+
+		// Guards against processes that revert, or stay behind, when changes race.
+		@Test
+		void twentyOperatorsRacingEndAtTheHighestRevisionWithoutReverts() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.startDomain("a", 2, 2);
+				fleet.startDomain("b", 2, 2);
+				fleet.awaitConnected();
+				List<Daemon> all = new ArrayList<>(fleet.daemons.values());
+				Random random = new Random(5);
+				List<CompletableFuture<Void>> pushes = new ArrayList<>();
+				for (int i = 1; i <= 20; i++) {
+					int revision = i;
+					Daemon daemon = all.get(random.nextInt(all.size()));
+					pushes.add(CompletableFuture.runAsync(() -> ask(operator(fleet, daemon), push(revision))));
+				}
+				CompletableFuture.allOf(pushes.toArray(CompletableFuture[]::new)).join();
+				GossipFleet.await(() -> fleet.allAt(20));
+				for (Map.Entry<String, List<Long>> process : fleet.adopted.entrySet()) {
+					List<Long> sorted = new ArrayList<>(process.getValue());
+					sorted.sort(null);
+					assertThat(process.getKey(), sorted.get(sorted.size() - 1), is(20L));
+					assertThat(process.getKey(), sorted.stream().distinct().count(), is((long) sorted.size()));
+				}
+			}
+		}
+
+		// Guards against a process that runs on a part of a damaged rule set.
+		@Test
+		void invalidDocumentIsRefusedAsAWhole() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				Daemon agent = fleet.start("agent", ProcessRole.AGENT, "a");
+				Connection operator = operator(fleet, agent);
+				for (String text : new String[] { "{", "[]", "{\"revision\":3,\"text\":\"nonsense\"}",
+						"{\"revision\":-1,\"text\":\"\"}" }) {
+					Frame.Builder push = Frame.newBuilder()
+						.setRulesValue(RulesValue.newBuilder().setRevision(3).setValue(ByteString.copyFromUtf8(text)));
+					assertThat(ask(operator, push).getRulesValue().getRevision(), is(0L));
+				}
+			}
+		}
+
+	}
+
+	/** Operators' connections. */
+	@Nested
+	class Operators {
+
+		// Guards against operators without the token.
+		@Test
+		void wrongTokenIsRefusedAndCounted() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				Daemon agent = fleet.start("agent", ProcessRole.AGENT, "a");
+				for (String token : new String[] { "", "wrong", GossipFleet.TOKEN + "0" }) {
+					assertThat(connect(fleet, agent, token), instanceOf(ConnectResult.NotConnected.class));
+				}
+				assertThat(agent.node().counters().refusedHellos().sum(), is(3L));
+			}
+		}
+
+		// Guards against a status or timeline that does not name what happened, and
+		// against orders that are not carried out.
+		@Test
+		void statusTimelineAndDrainAreAnswered() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				Daemon agent = fleet.start("agent", ProcessRole.AGENT, "a");
+				Connection operator = operator(fleet, agent);
+				ask(operator, push(4));
+				ask(operator, Frame.newBuilder().setDrainOrder(DrainOrder.newBuilder().setReason("test")));
+				Frame status = ask(operator, Frame.newBuilder().setStatusPull(StatusPull.getDefaultInstance()));
+				assertThat(status.getStatusValue().getRulesRevision(), is(4L));
+				assertThat(status.getStatusValue().getDraining(), is(true));
+				Frame timeline = ask(operator, Frame.newBuilder().setTimelinePull(TimelinePull.getDefaultInstance()));
+				assertThat(timeline.getTimelineValue()
+					.getEventsList()
+					.stream()
+					.anyMatch((event) -> event.getKind().equals("rules-adopted")), is(true));
+			}
+		}
+
+		// Guards against requests to targets with an operator's credentials.
+		@Test
+		void operatorCannotSendRequests() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				Daemon agent = fleet.start("agent", ProcessRole.AGENT, "a");
+				boolean[] opened = new boolean[1];
+				agent.node().streams().on(Frame.BodyCase.REQUEST_START, (stream, first) -> {
+					opened[0] = true;
+					return null;
+				});
+				Connection operator = operator(fleet, agent);
+				operator.open(Frame.newBuilder().setRequestStart(RequestStart.getDefaultInstance()),
+						(stream, frame) -> {
+						});
+				ask(operator, Frame.newBuilder().setStatusPull(StatusPull.getDefaultInstance()));
+				assertThat(opened[0], is(false));
+			}
+		}
+
+	}
+
+	/** The member list. */
+	@Nested
+	class Members {
+
+		// Guards against agents that all poll the list, and against agents that never
+		// learn of a change.
+		@Test
+		void agentsLearnMembersFromEntriesOfTheirDomain() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.startDomain("a", 1, 4);
+				fleet.awaitConnected();
+				GossipFleet.await(() -> fleet.daemons.values()
+					.stream()
+					.allMatch((daemon) -> daemon.node().membership().live().size() == 5));
+				long before = fleet.members.record().path("polls").asLong();
+				Thread.sleep(4_000);
+				long polls = fleet.members.record().path("polls").asLong() - before;
+				// One entry polls every 2 s; the four agents do not.
+				assertThat(polls, greaterThan(0L));
+				assertThat(polls, lessThanOrEqualTo(3L));
+			}
+		}
+
+		// Guards against agents of a domain without entries that never see the list.
+		@Test
+		void agentWithoutEntriesPollsTheList() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.start("agent", ProcessRole.AGENT, "a");
+				GossipFleet.await(() -> fleet.daemons.get("agent").node().membership().live().size() == 1);
+				fleet.start("other", ProcessRole.AGENT, "a");
+				GossipFleet.await(() -> fleet.daemons.get("agent").node().membership().live().size() == 2);
+			}
+		}
+
+	}
+
+	/** Pauses of a process. */
+	@Nested
+	class Pauses {
+
+		// Guards against work admitted by rules that changed several times in a pause.
+		@Test
+		void pausedProcessAdmitsWorkOnlyWithTheCurrentRules() throws Exception {
+			try (GossipFleet fleet = new GossipFleet(GossipTests.this.directory)) {
+				fleet.write(1);
+				fleet.startDomain("a", 1, 1);
+				fleet.awaitConnected();
+				GossipFleet.await(() -> fleet.allAt(1));
+				Daemon entry = fleet.daemons.get("a-entry0");
+				Daemon agent = fleet.daemons.get("a-agent0");
+				// Blocking the only event loop stands for a pause of the process.
+				CompletableFuture<Void> paused = new CompletableFuture<>();
+				entry.node().group().next().execute(() -> paused.orTimeout(30, TimeUnit.SECONDS).join());
+				for (long revision = 2; revision <= 4; revision++) {
+					ask(operator(fleet, agent), push(revision));
+				}
+				Thread.sleep(1_500);
+				CompletableFuture<Long> seen = new CompletableFuture<>();
+				entry.node().pauses().run(() -> seen.complete(entry.node().configuration().revision()));
+				assertThat(Optional.ofNullable(seen.getNow(null)), is(Optional.empty()));
+				paused.complete(null);
+				assertThat(seen.get(20, TimeUnit.SECONDS), is(4L));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gossip/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the dissemination between processes over real sockets.
+ */
+package org.baobabknot.gossip;
