Run entry and agent as processes with mutual TLS in tests

SIGTERM of agent and entry with 8 open streams of 2 s each: all end whole, the agent refuses a new request as not run, the entry serves requests that arrive during the balancer's lag, and both exit with status 0.

One event loop is now the default.

--- a/daemon/src/main/java/org/baobabknot/settings/Settings.java
+++ b/daemon/src/main/java/org/baobabknot/settings/Settings.java
@@ -119,7 +119,8 @@
 	/**
 	 * Bounds on memory and concurrency.
 	 *
-	 * @param threads event loops of the process
+	 * @param threads event loops of the process; with one, no request changes threads
+	 * inside the process, which costs a wake-up each time
 	 * @param concurrentRequests requests open at once
 	 * @param queuedRequests requests that wait for the target; used by an agent
 	 * @param weightBytes bytes of chunks in memory; used by an agent
--- a/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
@@ -156,7 +156,7 @@
 	}
 
 	private Settings.Limits limits(Section section) {
-		Settings.Limits limits = new Settings.Limits(section.integer("threads", 2, 1, 256),
+		Settings.Limits limits = new Settings.Limits(section.integer("threads", 1, 1, 256),
 				section.integer("concurrentRequests", 4096, 1, 1_000_000),
 				section.integer("queuedRequests", 256, 1, 1_000_000),
 				section.number("weightBytes", GIBIBYTE / 2, 1, 1000 * GIBIBYTE),
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/daemon/DaemonProcessTests.java
@@ -0,0 +1,115 @@
+package org.baobabknot.daemon;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Entry and agent as processes with mutual TLS, and the command line.
+ */
+class DaemonProcessTests {
+
+	private static final int STREAMS = 8;
+
+	@TempDir
+	Path directory;
+
+	private static void assertWhole(List<CompletableFuture<HttpResponse<String>>> calls) throws Exception {
+		for (CompletableFuture<HttpResponse<String>> call : calls) {
+			HttpResponse<String> answer = call.get(60, TimeUnit.SECONDS);
+			assertThat(answer.body(), answer.statusCode(), is(200));
+			assertThat(answer.body(), is(ProcessFixture.WHOLE));
+		}
+	}
+
+	/** SIGTERM with open streams. */
+	@Nested
+	class Shutdown {
+
+		// Guards against an agent that cuts open answers, or runs new work, after
+		// SIGTERM.
+		@Test
+		void agentFinishesOpenStreamsAndRefusesNewWorkAsNotRun() throws Exception {
+			try (ProcessFixture fixture = new ProcessFixture(DaemonProcessTests.this.directory)) {
+				List<CompletableFuture<HttpResponse<String>>> open = fixture.calls(STREAMS);
+				Thread.sleep(500);
+				fixture.agent.destroy();
+				Thread.sleep(500);
+				HttpResponse<String> late = fixture.call().get(60, TimeUnit.SECONDS);
+				assertThat(late.statusCode(), is(503));
+				assertThat(late.body(), containsString("urn:baobabknot:not-run:"));
+				assertWhole(open);
+				assertThat(fixture.agent.waitFor(60, TimeUnit.SECONDS), is(true));
+				assertThat(fixture.log("agent"), fixture.agent.exitValue(), is(0));
+			}
+		}
+
+		// Guards against an entry that cuts open answers, or refuses the requests that
+		// the
+		// balancer still sends during its lag.
+		@Test
+		void entryServesDuringTheLagAndFinishesOpenStreams() throws Exception {
+			try (ProcessFixture fixture = new ProcessFixture(DaemonProcessTests.this.directory)) {
+				List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>(fixture.calls(STREAMS));
+				Thread.sleep(300);
+				fixture.entry.destroy();
+				Thread.sleep(300);
+				assertThat(fixture.status("/readyz"), is(503));
+				calls.addAll(fixture.calls(STREAMS));
+				assertWhole(calls);
+				assertThat(fixture.entry.waitFor(60, TimeUnit.SECONDS), is(true));
+				assertThat(fixture.log("entry"), fixture.entry.exitValue(), is(0));
+			}
+		}
+
+	}
+
+	/** The command line. */
+	@Nested
+	class CommandLine {
+
+		private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+		private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+		private int run(String... arguments) {
+			return Baobabknotd.run(arguments, new PrintStream(this.out), new PrintStream(this.err));
+		}
+
+		// Guards against a usage error that looks like a successful start.
+		@Test
+		void usageErrorsHaveTheirOwnExitStatus() {
+			assertThat(run(), is(2));
+			assertThat(run("--nonsense"), is(2));
+			assertThat(run("--settings", "x", "extra"), is(2));
+			assertThat(run("--help"), is(0));
+			assertThat(this.out.toString(), containsString("--settings FILE"));
+		}
+
+		// Guards against a check that starts the process, or accepts a wrong file.
+		@Test
+		void checkReportsEveryError() throws Exception {
+			Path file = DaemonProcessTests.this.directory.resolve("wrong.json");
+			Files.writeString(file, "{\"role\": \"entry\", \"instanse\": \"e\"}");
+			assertThat(run("--settings", file.toString(), "--check"), is(2));
+			assertThat(this.err.toString(), containsString("did you mean \"instance\"?"));
+			assertThat(this.err.toString(), containsString("listen: found nothing, expected an object"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of whole processes.
+ */
+package org.baobabknot.daemon;
