--- a/benchmarks/src/main/java/org/baobabknot/experiment/LatencyExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/LatencyExperiment.java
@@ -34,6 +34,8 @@
 	// Requires more than the 128 callers, so that nothing queues at the agent.
 	private static final int CAPACITY = 512;
 
+	private static final int WARM_UP_CALLERS = 64;
+
 	private static final double MEDIAN_LIMIT_MILLIS = 0.5;
 
 	@Override
@@ -60,6 +62,8 @@
 		figures.put("cores", Runtime.getRuntime().availableProcessors());
 		boolean held = true;
 		try (HttpCaller caller = new HttpCaller(2, 20_000)) {
+			// One caller alone would leave the processes interpreted for minutes.
+			measure(fleet, caller, WARM_UP_CALLERS, options, context);
 			for (int callers : CALLERS) {
 				Map<String, LoadReport> reports = measure(fleet, caller, callers, options, context);
 				ObjectNode node = figures.putObject("callers_" + callers);
@@ -81,7 +85,7 @@
 		long millis = 1000L * (Integer) options.valueOf("seconds");
 		Random random = new Random(3);
 		for (int round = 0; round <= rounds; round++) {
-			// The first round warms the processes up and is not counted.
+			// The first round opens connections and is not counted.
 			boolean counted = round > 0;
 			try (Paths paths = new Paths(fleet, caller, target, options.has("tls"))) {
 				for (String path : PATHS) {
