--- a/benchmarks/src/main/java/org/baobabknot/experiment/DomainExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/DomainExperiment.java
@@ -125,6 +125,18 @@
 				new Random(this.seed + 1), () -> withPrefix(source.get(), prefix)), "load");
 		load.setDaemon(true);
 		load.start();
+		try {
+			return observe(name, report, domain, change);
+		}
+		finally {
+			generator.stop();
+			load.join();
+			report.faults().forEach((fault, count) -> this.context.report("%s: %d times: %s", name, count, fault));
+		}
+	}
+
+	private Result observe(String name, LoadReport report, String domain, Change change)
+			throws IOException, InterruptedException {
 		// The first seconds open connections and compile code.
 		TimeUnit.MILLISECONDS.sleep(this.phaseMillis / 2);
 		long start = System.nanoTime();
@@ -145,9 +157,6 @@
 		TimeUnit.MILLISECONDS.sleep(this.phaseMillis / 2);
 		long returned = System.nanoTime();
 		TimeUnit.MILLISECONDS.sleep(this.phaseMillis);
-		generator.stop();
-		load.join();
-		report.faults().forEach((fault, count) -> this.context.report("%s: %d times: %s", name, count, fault));
 		long late = TargetRecords.read(this.fleet).begun(domain, out + LATE_AFTER_MILLIS, end);
 		return new Result(report, late, new long[] { start, leaving, returned, System.nanoTime() });
 	}
--- a/benchmarks/src/main/java/org/baobabknot/load/HttpCaller.java
+++ b/benchmarks/src/main/java/org/baobabknot/load/HttpCaller.java
@@ -64,6 +64,10 @@
 	 */
 	public CompletableFuture<Answer> send(InetSocketAddress address, LoadRequest request) {
 		CompletableFuture<Answer> answer = new CompletableFuture<>();
+		if (this.group.isShuttingDown()) {
+			answer.complete(ExchangeHandler.notConnected("client closed"));
+			return answer;
+		}
 		Channel kept = takeIdle(address);
 		if (kept != null) {
 			exchange(kept, address, request, answer);
