--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/PeerHost.java
@@ -0,0 +1,60 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+
+import org.baobabknot.agent.AgentRole;
+import org.baobabknot.daemon.Daemon;
+import org.baobabknot.daemon.Node;
+import org.baobabknot.daemon.Role;
+import org.baobabknot.entry.EntryRole;
+import org.baobabknot.settings.ProcessRole;
+import org.baobabknot.settings.Settings;
+import org.baobabknot.settings.SettingsReader;
+import org.baobabknot.settings.SettingsResult;
+
+/**
+ * Main class of a process with many entries and agents in it. They are the peers of the
+ * measured processes, which run on their own.
+ */
+public final class PeerHost {
+
+	private PeerHost() {
+	}
+
+	/**
+	 * Starts the peers and waits to be ended.
+	 * @param args settings files
+	 * @throws InterruptedException when interrupted
+	 */
+	public static void main(String[] args) throws InterruptedException {
+		try {
+			CompletableFuture<?>[] started = new CompletableFuture<?>[args.length];
+			for (int i = 0; i < args.length; i++) {
+				started[i] = new Daemon(settings(Path.of(args[i])), role(Path.of(args[i]))).start();
+			}
+			CompletableFuture.allOf(started).join();
+			System.out.println("started " + args.length);
+			Thread.currentThread().join();
+		}
+		catch (IOException | CompletionException ex) {
+			System.err.println("cannot start a peer: " + ex);
+			System.exit(1);
+		}
+	}
+
+	private static Settings settings(Path file) throws IOException {
+		if (SettingsReader.read(file) instanceof SettingsResult.Accepted accepted) {
+			return accepted.settings();
+		}
+		throw new IOException(file + " is not valid");
+	}
+
+	private static Function<Node, Role> role(Path file) throws IOException {
+		return (settings(file).role() == ProcessRole.ENTRY) ? EntryRole::new : AgentRole::new;
+	}
+
+}
