--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -142,6 +142,10 @@
 		List<String> command = new ArrayList<>();
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.addAll(SMALL_PROCESS);
+		Path archive = this.root.resolve("benchmarks").resolve("target").resolve("daemon.jsa");
+		if (Files.exists(archive)) {
+			command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:cds=off", "-Xlog:cds+dynamic=off"));
+		}
 		command.addAll(jvmOptions);
 		command.addAll(List.of("-cp", classPath(), mainClass));
 		command.addAll(arguments);
