Add the burst experiment

Cause: the time to a new model on N replicas, the copies from the origin and over the region links, and the service meanwhile have to be measured against the lower bound and against replicas that all fetch from the origin. Ruled out: a simulation of the links; the experiment runs the processes with rate-limited stand-ins, and counts replicas out at once from the engines' own records of their loads. Measured: nothing yet, because the agents do not fetch weights yet; the plan's bound and the count of overlapping loads have tests. Conclusion: rates are four copies for the origin's link and two for an instance's link in the time allowed.

--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/burst/OriginBaseline.java
@@ -0,0 +1,95 @@
+package org.baobabknot.burst;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The simplest alternative: every replica fetches every chunk from the origin. Runs for a
+ * limited time, because N copies over a link that carries four in the time allowed take
+ * very long, and projects the time of the whole from the bytes received.
+ */
+final class OriginBaseline {
+
+	private final InetSocketAddress origin;
+
+	private final String path;
+
+	private final int chunks;
+
+	OriginBaseline(InetSocketAddress origin, String path, int chunks) {
+		this.origin = origin;
+		this.path = path;
+		this.chunks = chunks;
+	}
+
+	/**
+	 * Measures.
+	 * @param replicas number of replicas
+	 * @param modelBytes bytes of the model
+	 * @param limitMillis longest time of the measurement
+	 * @return the result
+	 * @throws InterruptedException when interrupted
+	 */
+	Result run(int replicas, long modelBytes, long limitMillis) throws InterruptedException {
+		AtomicLong received = new AtomicLong();
+		AtomicLong whole = new AtomicLong();
+		ExecutorService workers = Executors.newFixedThreadPool(replicas);
+		long start = System.nanoTime();
+		List<Future<?>> running = new ArrayList<>();
+		for (int replica = 0; replica < replicas; replica++) {
+			running.add(workers.submit(() -> fetch(received, whole)));
+		}
+		workers.shutdown();
+		workers.awaitTermination(limitMillis, TimeUnit.MILLISECONDS);
+		double seconds = (System.nanoTime() - start) / 1e9;
+		long bytes = received.get();
+		workers.shutdownNow();
+		double projected = seconds * replicas * modelBytes / Math.max(1, bytes);
+		return new Result(whole.get(), bytes / (double) modelBytes, seconds, projected);
+	}
+
+	private void fetch(AtomicLong received, AtomicLong whole) {
+		HttpClient client = HttpClient.newHttpClient();
+		try {
+			for (int chunk = 0; chunk < this.chunks; chunk++) {
+				URI uri = URI.create("http://" + this.origin.getHostString() + ":" + this.origin.getPort() + this.path
+						+ "/chunks/" + chunk);
+				HttpResponse<byte[]> answer = client.send(HttpRequest.newBuilder(uri).build(),
+						HttpResponse.BodyHandlers.ofByteArray());
+				received.addAndGet(answer.body().length);
+			}
+			whole.incrementAndGet();
+		}
+		catch (java.io.IOException ex) {
+			// The replica stays without its copy, which the result shows.
+			received.addAndGet(0);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Figures of the baseline.
+	 *
+	 * @param replicas replicas that received the whole
+	 * @param copies copies fetched from the origin
+	 * @param seconds length of the measurement
+	 * @param projectedSeconds time until all replicas have the whole, at the measured
+	 * rate
+	 */
+	record Result(long replicas, double copies, double seconds, double projectedSeconds) {
+
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Deployment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Deployment.java
@@ -98,6 +98,19 @@
 				this.originBytesPerSecond, this.model, this.workspaces);
 	}
 
+	/**
+	 * Returns this deployment with other rates and another model.
+	 * @param linkRate rate of the link between two failure domains, in bytes per second
+	 * @param machineRate rate of the link of an instance, in bytes per second
+	 * @param originRate rate of the origin's link, in bytes per second
+	 * @param changed size of the model
+	 * @return a changed copy
+	 */
+	public Deployment with(long linkRate, long machineRate, long originRate, Model changed) {
+		return new Deployment(this.name, this.domains, this.entries, this.services,
+				new Link(this.link.delayMillis(), linkRate), machineRate, originRate, changed, this.workspaces);
+	}
+
 	/**
 	 * Returns the model service.
 	 * @return the first service
@@ -154,9 +167,25 @@
 	 * @param capacity requests that a target bears at once when warm
 	 * @param coldMillis time until a started target is warm, in milliseconds
 	 * @param workMillis time per token of an engine or per request of a plain service
+	 * @param loadMillis time of an engine to load weights after their last byte
 	 */
 	public record Service(String name, boolean engine, int targets, int coldLimit, int capacity, long coldMillis,
-			double workMillis) {
+			double workMillis, long loadMillis) {
+
+		/**
+		 * Creates a service whose engines load weights in 100 ms.
+		 * @param name its name
+		 * @param engine whether its targets are engines
+		 * @param targets number of targets
+		 * @param coldLimit requests at once while cold
+		 * @param capacity requests at once when warm
+		 * @param coldMillis time until a started target is warm
+		 * @param workMillis time per token or request
+		 */
+		public Service(String name, boolean engine, int targets, int coldLimit, int capacity, long coldMillis,
+				double workMillis) {
+			this(name, engine, targets, coldLimit, capacity, coldMillis, workMillis, 100);
+		}
 
 		static Service engine(String name, int targets) {
 			return new Service(name, true, targets, 2, 16, 1_000, 2);
@@ -166,9 +195,19 @@
 			return new Service(name, false, targets, 4, 32, 500, 5);
 		}
 
+		/**
+		 * Returns this service with another loading time.
+		 * @param millis time to load weights after their last byte
+		 * @return a changed copy
+		 */
+		public Service loading(long millis) {
+			return new Service(this.name, this.engine, this.targets, this.coldLimit, this.capacity, this.coldMillis,
+					this.workMillis, millis);
+		}
+
 		Service sized(int count) {
 			return new Service(this.name, this.engine, count, this.coldLimit, this.capacity, this.coldMillis,
-					this.workMillis);
+					this.workMillis, this.loadMillis);
 		}
 
 	}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -318,6 +318,14 @@
 		return new InetSocketAddress("127.0.0.1", this.plan.ports(entry).http());
 	}
 
+	/**
+	 * Returns the address of the origin.
+	 * @return the URL without a path
+	 */
+	public String originUrl() {
+		return url(FleetPlan.ORIGIN);
+	}
+
 	/**
 	 * Returns the address of a target.
 	 * @param instance the instance of its agent
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FleetPlan.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FleetPlan.java
@@ -112,7 +112,7 @@
 			.put("cold_limit", service.coldLimit())
 			.put("cold_ms", service.coldMillis());
 		if (service.engine()) {
-			node.put("token_ms", service.workMillis());
+			node.put("token_ms", service.workMillis()).put("load_ms", service.loadMillis());
 		}
 		else {
 			node.put("time_ms", (long) service.workMillis());
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
 
 /**
@@ -31,7 +32,10 @@
 	FAULTS("draws faults from a seed and checks every guarantee under load", FaultsExperiment::new),
 
 	/** Cost of tables and messages for the capacity page. */
-	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new);
+	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new),
+
+	/** A new model version on N replicas under load. */
+	BURST("brings a new model to N replicas under load, against the lower bound", BurstExperiment::new);
 
 	private final String summary;
 
--- /dev/null
+++ b/benchmarks/src/test/java/org/baobabknot/burst/BurstPlanTests.java
@@ -0,0 +1,34 @@
+package org.baobabknot.burst;
+
+import org.baobabknot.experiment.Deployment;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests for {@link BurstPlan}.
+ */
+class BurstPlanTests {
+
+	private final BurstPlan plan = BurstPlan.of(100, 6, 24, 2 << 20, 500);
+
+	// Guards against a bound that is easier than the stated one: 12 s for a copy over the
+	// instance's link and 12 loads of 0.5 s after each other with 9 replicas out at once.
+	@Test
+	void boundFollowsFromTheRates() {
+		assertThat(this.plan.allowedOut(), is(9));
+		assertThat(this.plan.boundSeconds(), closeTo(12 + 12 * 0.5, 1e-9));
+	}
+
+	// Guards against links that carry more than four and two copies in the time allowed.
+	@Test
+	void ratesAreInProportion() {
+		Deployment deployment = this.plan.deployment();
+		long copy = deployment.model().bytes();
+		assertThat((double) deployment.originBytesPerSecond() * 24 / copy, closeTo(4, 0.01));
+		assertThat((double) deployment.machineBytesPerSecond() * 24 / copy, closeTo(2, 0.01));
+	}
+
+}
--- a/standins/src/main/java/org/baobabknot/standin/engine/EngineStandin.java
+++ b/standins/src/main/java/org/baobabknot/standin/engine/EngineStandin.java
@@ -37,6 +37,8 @@
 
 	private boolean loading;
 
+	private final LoadSpans spans = new LoadSpans();
+
 	private long loads;
 
 	private long refusedLoads;
@@ -188,6 +190,7 @@
 		}
 		this.highestFence = Math.max(fence, this.highestFence);
 		this.loading = true;
+		this.spans.begin(call.parameter("version").orElse(""), System.currentTimeMillis());
 		long incarnation = this.health.incarnation();
 		call.onClose(() -> endLoading(incarnation));
 		return new WeightSink(call, incarnation);
@@ -204,6 +207,7 @@
 			return;
 		}
 		this.loading = false;
+		this.spans.end(System.currentTimeMillis());
 		this.loads++;
 		this.loaded = weights;
 		this.health.turnCold();
@@ -215,6 +219,7 @@
 		ObjectNode node = status();
 		node.put("failure_domain", this.settings.failureDomain());
 		node.put("loads", this.loads);
+		this.spans.write(node);
 		node.put("refused_loads", this.refusedLoads);
 		node.put("crashes", this.crashes);
 		node.put("cancelled", this.batch.cancelled());
--- /dev/null
+++ b/standins/src/main/java/org/baobabknot/standin/engine/LoadSpans.java
@@ -0,0 +1,51 @@
+package org.baobabknot.standin.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Records when the engine could not serve because it was loading weights. Not
+ * thread-safe: used on the event loop of the stand-in.
+ */
+final class LoadSpans {
+
+	private static final long OPEN = 0;
+
+	private final List<Span> spans = new ArrayList<>();
+
+	void begin(String version, long nowMillis) {
+		this.spans.add(new Span(version, nowMillis));
+	}
+
+	void end(long nowMillis) {
+		if (!this.spans.isEmpty()) {
+			this.spans.get(this.spans.size() - 1).end = nowMillis;
+		}
+	}
+
+	void write(ObjectNode record) {
+		ArrayNode list = record.putArray("load_spans");
+		for (Span span : this.spans) {
+			list.addObject().put("version", span.version).put("from_ms", span.begin).put("to_ms", span.end);
+		}
+	}
+
+	private static final class Span {
+
+		private final String version;
+
+		private final long begin;
+
+		private long end = OPEN;
+
+		Span(String version, long begin) {
+			this.version = version;
+			this.begin = begin;
+		}
+
+	}
+
+}
