--- /dev/null
+++ b/core/src/main/java/org/baobabknot/distribution/ChunkOrder.java
@@ -0,0 +1,150 @@
+package org.baobabknot.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.baobabknot.hashing.RendezvousHash;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Who is responsible for which chunk, by rendezvous hashing over the live agents. Ranks
+ * are computed when they are asked for the first time.
+ */
+final class ChunkOrder {
+
+	/** Agents asked for a chunk in turn; those after them are too rarely needed. */
+	private static final int FETCHERS = 3;
+
+	private final String digest;
+
+	private final Peer self;
+
+	private final List<Peer> agents;
+
+	private final List<Peer> gateways;
+
+	private final TreeMap<String, List<Peer>> gatewaysOfRegion = new TreeMap<>();
+
+	private final @Nullable Ranks[] ranks;
+
+	ChunkOrder(String digest, int chunks, Peer self, Collection<Peer> live) {
+		this.digest = digest;
+		this.self = self;
+		this.agents = new ArrayList<>(live);
+		if (live.stream().noneMatch((peer) -> peer.instance().equals(self.instance()))) {
+			this.agents.add(self);
+		}
+		this.ranks = new Ranks[chunks];
+		this.gateways = gatewaysOf(self.domain());
+		this.agents.stream()
+			.filter((peer) -> peer.region().equals(self.region()))
+			.map(Peer::domain)
+			.distinct()
+			.forEach((domain) -> this.gatewaysOfRegion.put(domain, gatewaysOf(domain)));
+	}
+
+	private List<Peer> gatewaysOf(String domain) {
+		List<Peer> members = this.agents.stream().filter((peer) -> peer.domain().equals(domain)).toList();
+		return RendezvousHash.rank(this.digest + " gateway", members, Peer::instance);
+	}
+
+	int agents() {
+		return this.agents.size();
+	}
+
+	private Ranks ranks(int index) {
+		Ranks known = this.ranks[index];
+		if (known == null) {
+			known = rank(index);
+			this.ranks[index] = known;
+		}
+		return known;
+	}
+
+	private Ranks rank(int index) {
+		List<Peer> order = RendezvousHash.rank(key(index), this.agents, Peer::instance);
+		int inDomain = 0;
+		int inFleet = 0;
+		for (Peer peer : order) {
+			if (peer.instance().equals(this.self.instance())) {
+				break;
+			}
+			inFleet++;
+			inDomain += peer.domain().equals(this.self.domain()) ? 1 : 0;
+		}
+		return new Ranks(order.subList(0, Math.min(FETCHERS, order.size())), inFleet, inDomain);
+	}
+
+	private String key(int index) {
+		return this.digest + " " + index;
+	}
+
+	// Returns the agents that fetch a chunk from the origin, in order.
+	List<Peer> fetchers(int index) {
+		return ranks(index).fetchers();
+	}
+
+	// Returns how many agents come before this one for the origin.
+	int fleetRank(int index) {
+		return ranks(index).inFleet();
+	}
+
+	// Returns how many agents of the own domain come before this one for the origin.
+	int domainRank(int index) {
+		return ranks(index).inDomain();
+	}
+
+	// Returns how many agents come before this one for bringing a chunk into the domain.
+	// The first two gateways share the chunks.
+	int gatewayPosition(int index) {
+		int place = 0;
+		while (!this.gateways.get(place).instance().equals(this.self.instance())) {
+			place++;
+		}
+		return (place < 2 && this.gateways.size() > 1) ? place ^ (index & 1) : place;
+	}
+
+	// Returns the gateway of another domain of the own region that brings a chunk into
+	// the
+	// region, so that it crosses the link between regions once.
+	Optional<Peer> regionalSource(int index) {
+		if (this.gatewaysOfRegion.size() < 2 || fetchers(index).get(0).region().equals(this.self.region())) {
+			return Optional.empty();
+		}
+		String domain = RendezvousHash.first(key(index), this.gatewaysOfRegion.keySet(), (name) -> name).orElseThrow();
+		if (domain.equals(this.self.domain())) {
+			return Optional.empty();
+		}
+		List<Peer> candidates = this.gatewaysOfRegion.get(domain);
+		return Optional.of(candidates.get((candidates.size() > 1) ? index & 1 : 0));
+	}
+
+	boolean inOwnDomain(String instance) {
+		return this.gateways.stream().anyMatch((peer) -> peer.instance().equals(instance));
+	}
+
+	// Returns the agents of the own domain with which this one exchanges bitmaps: the
+	// next
+	// one in order of name, which keeps the graph connected, and others by hash.
+	List<String> neighbours(int limit) {
+		List<String> names = new ArrayList<>(this.gateways.stream().map(Peer::instance).sorted().toList());
+		int place = names.indexOf(this.self.instance());
+		String next = names.get((place + 1) % names.size());
+		names.remove(this.self.instance());
+		names.remove(next);
+		List<String> chosen = new ArrayList<>();
+		if (!next.equals(this.self.instance())) {
+			chosen.add(next);
+		}
+		List<String> others = RendezvousHash.rank(this.digest + " " + this.self.instance(), names, (name) -> name);
+		chosen.addAll(others.subList(0, Math.min(Math.max(0, limit - chosen.size()), others.size())));
+		return chosen;
+	}
+
+	private record Ranks(List<Peer> fetchers, int inFleet, int inDomain) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/distribution/FetchFailure.java
@@ -0,0 +1,17 @@
+package org.baobabknot.distribution;
+
+/**
+ * Why a fetch failed.
+ */
+public enum FetchFailure {
+
+	/** The bytes differ from the manifest. */
+	CORRUPT,
+	/** The source doesn't hold the chunk. */
+	NOT_HELD,
+	/** The source has no upload slot. */
+	BUSY,
+	/** The source can't be reached, or the transfer stalled. */
+	UNREACHABLE
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/distribution/Pacer.java
@@ -0,0 +1,102 @@
+package org.baobabknot.distribution;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Token bucket for bulk bytes on a link that live requests share. Bulk gets what live
+ * traffic leaves of the link, and at least a small part so that a version arrives in the
+ * end. Thread-safe.
+ */
+public final class Pacer {
+
+	/** Part of the link that bulk gets under any live traffic. */
+	private static final double LEAST_SHARE = 0.1;
+
+	/** Part of the link that stays free, so that live bytes find a short queue. */
+	private static final double HEADROOM = 0.1;
+
+	/**
+	 * Time over which live traffic is averaged; a burst of answers lasts about as long.
+	 */
+	private static final double WINDOW_SECONDS = 0.5;
+
+	/** Time for which unused rate is kept. */
+	private static final double BURST_SECONDS = 0.05;
+
+	private final double linkBytesPerSecond;
+
+	private final double mostBytesPerSecond;
+
+	private final double burstBytes;
+
+	private double tokens;
+
+	private double liveBytesPerSecond;
+
+	private long lastNanos;
+
+	/**
+	 * Creates a pacer with a full bucket.
+	 * @param linkBytesPerSecond rate of the link
+	 * @param bulkShare part of the link that bulk may use without live traffic
+	 * @param largestTake most bytes taken at once
+	 * @param nowNanos monotonic time
+	 */
+	public Pacer(long linkBytesPerSecond, double bulkShare, int largestTake, long nowNanos) {
+		this.linkBytesPerSecond = linkBytesPerSecond;
+		this.mostBytesPerSecond = linkBytesPerSecond * bulkShare;
+		this.burstBytes = Math.max(largestTake, this.mostBytesPerSecond * BURST_SECONDS);
+		this.tokens = this.burstBytes;
+		this.lastNanos = nowNanos;
+	}
+
+	/**
+	 * Takes note of live bytes on the link.
+	 * @param bytes number of bytes
+	 * @param nowNanos monotonic time
+	 */
+	public synchronized void live(long bytes, long nowNanos) {
+		advance(nowNanos);
+		this.liveBytesPerSecond += bytes / WINDOW_SECONDS;
+	}
+
+	/**
+	 * Takes bulk bytes if the bucket holds them.
+	 * @param bytes number of bytes
+	 * @param nowNanos monotonic time
+	 * @return 0 when the bytes may be sent now; otherwise nothing was taken and the
+	 * result is the time in nanoseconds after which to try again
+	 */
+	public synchronized long tryTake(int bytes, long nowNanos) {
+		advance(nowNanos);
+		double needed = Math.min(bytes, this.burstBytes);
+		if (this.tokens >= needed) {
+			this.tokens -= bytes;
+			return 0;
+		}
+		return 1 + (long) ((needed - this.tokens) / rate() * TimeUnit.SECONDS.toNanos(1));
+	}
+
+	/**
+	 * Returns the rate that bulk gets now.
+	 * @param nowNanos monotonic time
+	 * @return bytes per second
+	 */
+	public synchronized double bytesPerSecond(long nowNanos) {
+		advance(nowNanos);
+		return rate();
+	}
+
+	private double rate() {
+		double left = this.linkBytesPerSecond * (1 - HEADROOM) - this.liveBytesPerSecond;
+		return Math.max(this.mostBytesPerSecond * LEAST_SHARE, Math.min(this.mostBytesPerSecond, left));
+	}
+
+	private void advance(long nowNanos) {
+		double seconds = Math.max(0, nowNanos - this.lastNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+		this.tokens = Math.min(this.burstBytes, this.tokens + rate() * seconds);
+		this.liveBytesPerSecond *= Math.exp(-seconds / WINDOW_SECONDS);
+		this.lastNanos = Math.max(this.lastNanos, nowNanos);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/distribution/UploadSlots.java
@@ -0,0 +1,60 @@
+package org.baobabknot.distribution;
+
+/**
+ * Bounds the chunks that an agent serves at once. Requests from other failure domains
+ * have slots of their own: all agents of a domain wait for the chunks that its gateways
+ * bring in, while requests from the own domain can be served by others. Thread-safe.
+ */
+public final class UploadSlots {
+
+	/** Slots of an agent: fewer leave its link idle, more slow down each transfer. */
+	public static final int STANDARD = 4;
+
+	private final int slots;
+
+	private int domain;
+
+	private int inward;
+
+	/**
+	 * Creates free slots.
+	 * @param slots slots for the own failure domain, and as many for all others
+	 */
+	public UploadSlots(int slots) {
+		this.slots = slots;
+	}
+
+	/**
+	 * Takes a slot if one is free.
+	 * @param otherDomain whether the request comes from another failure domain
+	 * @return true when a slot was taken
+	 */
+	public synchronized boolean tryAcquire(boolean otherDomain) {
+		if ((otherDomain ? this.inward : this.domain) >= this.slots) {
+			return false;
+		}
+		count(otherDomain, 1);
+		return true;
+	}
+
+	/**
+	 * Gives a slot back.
+	 * @param otherDomain the same value as when it was taken
+	 */
+	public synchronized void release(boolean otherDomain) {
+		if ((otherDomain ? this.inward : this.domain) == 0) {
+			throw new IllegalStateException("no slot is in use");
+		}
+		count(otherDomain, -1);
+	}
+
+	private void count(boolean otherDomain, int change) {
+		if (otherDomain) {
+			this.inward += change;
+		}
+		else {
+			this.domain += change;
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/distribution/package-info.java
@@ -0,0 +1,16 @@
+/**
+ * Decides from where an agent fetches each chunk of a version, and limits what it serves.
+ *
+ * <pre>{@code
+ * DistributionPlanner planner = new DistributionPlanner(manifest, self, settings, random, nowNanos);
+ * planner.agents(liveAgents, nowNanos);
+ * planner.held("agent-2", bitmap, nowNanos);
+ * for (FetchCommand command : planner.plan(chunks.held(), nowNanos)) {
+ *     start(command);
+ * }
+ * }</pre>
+ */
+@NullMarked
+package org.baobabknot.distribution;
+
+import org.jspecify.annotations.NullMarked;
