--- a/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Experiment.java
@@ -73,12 +73,22 @@
 				launcher.keepFolder();
 				progress.println("settings and logs: " + launcher.folder());
 			}
-			Outcome outcome = subcommand.run(options, new ExperimentContext(launcher, progress));
+			return measure(subcommand, options, output, new ExperimentContext(launcher, progress));
+		}
+	}
+
+	private static int measure(Subcommand subcommand, OptionSet options, PrintStream output,
+			ExperimentContext context) {
+		try {
+			Outcome outcome = subcommand.run(options, context);
 			output.println(outcome.figures().toString());
 			return outcome.held() ? HELD : FAILED;
 		}
 		catch (Exception ex) {
-			ex.printStackTrace(progress);
+			// Processes that end on an interruption make the experiment fail as well.
+			if (!context.launcher().closing()) {
+				ex.printStackTrace(context.progress());
+			}
 			return FAILED;
 		}
 	}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -5,13 +5,33 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import org.baobabknot.capacity.TablesExperiment;
+
 /**
  * Table of the experiments. To add one, add a constant with its summary and class.
  */
 public enum Subcommands {
 
+	/** Latency added by entry and agent. */
+	LATENCY("measures the latency that entry and agent add to a target", LatencyExperiment::new),
+
+	/** A failure domain leaves and returns. */
+	DOMAIN("takes a failure domain out and back under load, with a baseline in the same run", DomainExperiment::new),
+
+	/** Requests and events per second per core. */
+	THROUGHPUT("measures requests and streamed events per second per core, and memory", ThroughputExperiment::new),
+
+	/** Growth of bytes, CPU time and heap. */
+	SLOPES("measures how bytes, CPU time and heap grow with peers, load, rules and changes", SlopesExperiment::new),
+
 	/** Starts idle processes; checks the launcher itself. */
-	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new);
+	PROCESSES("starts N idle Java processes and ends them, to check the launcher", ProcessesExperiment::new),
+
+	/** Checks of the guarantees under faults. */
+	FAULTS("draws faults from a seed and checks every guarantee under load", FaultsExperiment::new),
+
+	/** Cost of tables and messages for the capacity page. */
+	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new);
 
 	private final String summary;
 
