--- a/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
@@ -1,5 +1,7 @@
 package org.baobabknot.agent;
 
+import java.net.URI;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -9,10 +11,15 @@
 import org.baobabknot.admission.LimiterSettings;
 import org.baobabknot.admission.QueueSettings;
 import org.baobabknot.admission.TargetLimiter;
+import org.baobabknot.agent.weights.AgentWeights;
 import org.baobabknot.daemon.Node;
 import org.baobabknot.daemon.Role;
+import org.baobabknot.httpclient.ConnectionHook;
+import org.baobabknot.httpclient.HttpClient;
+import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.membership.Member;
 import org.baobabknot.membership.MemberState;
+import org.baobabknot.origin.HttpWeightOrigin;
 import org.baobabknot.protocol.generated.Frame;
 import org.baobabknot.record.ClaimBook;
 import org.baobabknot.record.ClaimSettings;
@@ -35,6 +42,16 @@
 	 */
 	private static final long FLUSH_MILLIS = 100;
 
+	/**
+	 * Longest chunk that the origin may serve.
+	 */
+	private static final int LONGEST_CHUNK_BYTES = 64 << 20;
+
+	/**
+	 * Longest time for one chunk from the origin, whose link many agents share.
+	 */
+	private static final Duration CHUNK_TIMEOUT = Duration.ofSeconds(60);
+
 	private final Node node;
 
 	private final Admission admission;
@@ -45,6 +62,8 @@
 
 	private final AgentParts parts;
 
+	private final Optional<AgentWeights> weights;
+
 	/**
 	 * Creates the parts and registers the handlers.
 	 * @param node parts of the process; its settings have a target
@@ -70,9 +89,19 @@
 		LoadSource load = new LoadSource(at.service(), this.admission, this.watch);
 		this.parts = new AgentParts(node, at.service(), this.target, this.admission, this.watch, record, claims,
 				metrics, load, new OpenRequests());
+		this.weights = (engine) ? settings.platform().origin().map((origin) -> weights(at.service(), origin))
+				: Optional.empty();
 		register(load);
 	}
 
+	private AgentWeights weights(String service, URI origin) {
+		int port = (origin.getPort() > 0) ? origin.getPort() : 80;
+		HttpClientSettings settings = HttpClientSettings.defaults().maxBody(LONGEST_CHUNK_BYTES);
+		HttpClient client = new HttpClient(this.node.group(), origin.getHost(), port, settings, ConnectionHook.NONE);
+		return new AgentWeights(this.node, service, new HttpWeightOrigin(client, CHUNK_TIMEOUT), this.admission,
+				this.target, this.watch::last, this.watch::pollSoon);
+	}
+
 	private void register(LoadSource load) {
 		this.node.streams().on(Frame.BodyCase.REQUEST_START, (stream, first) -> {
 			AgentRequest request = new AgentRequest(this.parts, stream, first.getRequestStart());
@@ -104,6 +133,7 @@
 		followDomain();
 		followMembership();
 		this.watch.start(this.target);
+		this.weights.ifPresent(AgentWeights::start);
 		return CompletableFuture.completedFuture(null);
 	}
 
@@ -144,10 +174,19 @@
 
 	@Override
 	public void close() {
+		this.weights.ifPresent(AgentWeights::close);
 		this.watch.close();
 		this.target.close();
 	}
 
+	/**
+	 * Returns the weights of the target.
+	 * @return the weights, or nothing for a plain service
+	 */
+	public Optional<AgentWeights> weights() {
+		return this.weights;
+	}
+
 	/**
 	 * Returns the gate of the target, for switches of version.
 	 * @return the gate
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/ManifestFetch.java
@@ -0,0 +1,75 @@
+package org.baobabknot.agent.weights;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.baobabknot.origin.ManifestJson;
+import org.baobabknot.origin.ManifestResult;
+import org.baobabknot.origin.WeightOrigin;
+import org.baobabknot.protocol.Connection;
+import org.baobabknot.rules.Rule;
+import org.baobabknot.weights.Manifest;
+
+/**
+ * Fetches the manifest that a rule names, from a peer or the origin, and accepts it only
+ * if its digest is the one in the rule.
+ */
+final class ManifestFetch {
+
+	private final BulkConnections connections;
+
+	private final WeightOrigin origin;
+
+	ManifestFetch(BulkConnections connections, WeightOrigin origin) {
+		this.connections = connections;
+		this.origin = origin;
+	}
+
+	/**
+	 * Asks one source. The sources take turns, so that one of them that is down or serves
+	 * other bytes doesn't stop the others.
+	 * @param rule the rule
+	 * @param peers agents that may hold the manifest
+	 * @param attempt number of earlier attempts
+	 * @return the manifest, or nothing when this source didn't have it
+	 */
+	CompletableFuture<Optional<Manifest>> fetch(Rule.Model rule, List<String> peers, int attempt) {
+		boolean fromPeer = !peers.isEmpty() && attempt % 2 == 1;
+		CompletableFuture<Optional<byte[]>> bytes = fromPeer ? fromPeer(rule, peers.get((attempt / 2) % peers.size()))
+				: fromOrigin(rule);
+		return bytes.thenApply((json) -> json.flatMap((value) -> accept(value, rule)));
+	}
+
+	private CompletableFuture<Optional<byte[]>> fromOrigin(Rule.Model rule) {
+		return this.origin.manifest(rule.service(), rule.version())
+			.thenApply((result) -> (result instanceof ManifestResult.Fetched fetched) ? Optional.of(fetched.json())
+					: Optional.empty());
+	}
+
+	private CompletableFuture<Optional<byte[]>> fromPeer(Rule.Model rule, String peer) {
+		return this.connections.take(peer).thenCompose((connection) -> {
+			if (connection.isEmpty()) {
+				return CompletableFuture.completedFuture(Optional.empty());
+			}
+			Connection open = connection.get();
+			return PeerTransfer.manifest(open, rule.service(), rule.version(), rule.digest()).thenApply((fetched) -> {
+				this.connections.release(peer, open);
+				return (fetched instanceof Fetched.Bytes bytes) ? Optional.of(bytes.bytes()) : Optional.empty();
+			});
+		});
+	}
+
+	private static Optional<Manifest> accept(byte[] json, Rule.Model rule) {
+		try {
+			Manifest manifest = ManifestJson.read(json);
+			boolean named = manifest.digest().equals(rule.digest()) && manifest.service().equals(rule.service())
+					&& manifest.version().equals(rule.version());
+			return named ? Optional.of(manifest) : Optional.empty();
+		}
+		catch (RuntimeException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/RolloutMessages.java
@@ -0,0 +1,59 @@
+package org.baobabknot.agent.weights;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.baobabknot.protocol.generated.RolloutUpdate;
+import org.baobabknot.rollout.RolloutEntry;
+import org.baobabknot.rollout.RolloutKey;
+import org.baobabknot.rollout.RolloutPhase;
+
+/**
+ * Converts rollout entries between the protocol and the core.
+ */
+final class RolloutMessages {
+
+	private RolloutMessages() {
+	}
+
+	static RolloutUpdate message(String service, String domain, List<RolloutEntry> entries) {
+		RolloutUpdate.Builder update = RolloutUpdate.newBuilder();
+		for (RolloutEntry entry : entries) {
+			update.addEntries(org.baobabknot.protocol.generated.RolloutEntry.newBuilder()
+				.setInstance(entry.instance())
+				.setIncarnation(entry.incarnation())
+				.setSequence(entry.sequence())
+				.setService(service)
+				.setFailureDomain(domain)
+				.setVersion(entry.key().version())
+				.setEpoch(entry.key().epoch())
+				.setPhase(org.baobabknot.protocol.generated.RolloutPhase.valueOf(entry.phase().name()))
+				.setLate(entry.late()));
+		}
+		return update.build();
+	}
+
+	// Reads the entries of one group. Entries of other groups and of phases that this
+	// version does not know are left out.
+	static List<RolloutEntry> entries(String service, String domain, RolloutUpdate update) {
+		return update.getEntriesList()
+			.stream()
+			.filter((entry) -> entry.getService().equals(service) && entry.getFailureDomain().equals(domain))
+			.flatMap((entry) -> phase(entry.getPhase())
+				.map((phase) -> new RolloutEntry(entry.getInstance(), entry.getIncarnation(), entry.getSequence(),
+						new RolloutKey(entry.getVersion(), entry.getEpoch()), phase, entry.getLate()))
+				.stream())
+			.toList();
+	}
+
+	private static Optional<RolloutPhase> phase(org.baobabknot.protocol.generated.RolloutPhase phase) {
+		return switch (phase) {
+			case FETCHING -> Optional.of(RolloutPhase.FETCHING);
+			case READY -> Optional.of(RolloutPhase.READY);
+			case OUT -> Optional.of(RolloutPhase.OUT);
+			case DONE -> Optional.of(RolloutPhase.DONE);
+			default -> Optional.empty();
+		};
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/VersionSwitch.java
@@ -0,0 +1,174 @@
+package org.baobabknot.agent.weights;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.baobabknot.admission.CloseReason;
+import org.baobabknot.agent.AdmissionGate;
+import org.baobabknot.daemon.Node;
+import org.baobabknot.target.LoadCommand;
+import org.baobabknot.target.LoadResult;
+import org.baobabknot.target.Target;
+import org.baobabknot.target.TargetState;
+import org.baobabknot.target.TargetStatus;
+import org.baobabknot.weights.ChunkSet;
+
+/**
+ * Takes the target out, loads a verified version and puts the target back. Admission
+ * stays closed until the target reports the digest of the whole, so no request runs on
+ * anything else. Runs on one event loop.
+ */
+final class VersionSwitch {
+
+	/** Bytes of one part of a load command. */
+	private static final int PART_BYTES = 256 * 1024;
+
+	/** Wait before a failed load is repeated. */
+	private static final long RETRY_MILLIS = 500;
+
+	/** Time after which a drain is reported; the agent waits on. */
+	private static final long LONG_DRAIN_SECONDS = 30;
+
+	private final Node node;
+
+	private final AdmissionGate gate;
+
+	private final Target target;
+
+	private final Supplier<Optional<TargetStatus>> status;
+
+	private final Runnable poll;
+
+	private final EventLoop loop;
+
+	private final Runnable changed;
+
+	private boolean busy;
+
+	private boolean closed;
+
+	VersionSwitch(Node node, AdmissionGate gate, Target target, Supplier<Optional<TargetStatus>> status, Runnable poll,
+			EventLoop loop, Runnable changed) {
+		this.node = node;
+		this.gate = gate;
+		this.target = target;
+		this.status = status;
+		this.poll = poll;
+		this.loop = loop;
+		this.changed = changed;
+	}
+
+	boolean busy() {
+		return this.busy;
+	}
+
+	Optional<TargetStatus> status() {
+		return this.status.get();
+	}
+
+	boolean empty() {
+		return status().map((known) -> known.state() == TargetState.EMPTY).orElse(false);
+	}
+
+	/**
+	 * Tells whether the target runs a whole version.
+	 * @param wholeDigest digest of the version
+	 * @return true when it serves and reports the digest
+	 */
+	boolean runs(String wholeDigest) {
+		return status().map((known) -> serves(known) && known.digest().equals(wholeDigest)).orElse(false);
+	}
+
+	private static boolean serves(TargetStatus known) {
+		return known.state() == TargetState.COLD || known.state() == TargetState.READY;
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	/**
+	 * Closes admission, drains and loads.
+	 * @param chunks the verified version
+	 */
+	void start(ChunkSet chunks) {
+		this.busy = true;
+		String version = chunks.manifest().version();
+		this.node.events().record("switch-started", version);
+		this.gate.close(CloseReason.SWITCHING);
+		CompletableFuture<Void> drained = this.gate.drained();
+		this.loop.schedule(() -> {
+			if (!drained.isDone()) {
+				this.node.events().record("drain-long", this.gate.running() + " requests still run");
+			}
+		}, LONG_DRAIN_SECONDS, TimeUnit.SECONDS);
+		drained.whenComplete((nothing, error) -> this.loop.execute(() -> load(chunks)));
+	}
+
+	private void load(ChunkSet chunks) {
+		if (this.closed) {
+			return;
+		}
+		LoadCommand command = new LoadCommand(chunks.manifest().version(), chunks.manifest().wholeDigest(),
+				this.node.configuration().revision(), chunks.manifest().size());
+		this.target.load(command, (index) -> part(chunks, index))
+			.whenComplete((result, error) -> this.loop.execute(() -> loaded(chunks, result)));
+	}
+
+	// Cuts parts out of chunks; a part never spans two chunks.
+	static byte[] part(ChunkSet chunks, int index) {
+		int perChunk = Math.max(1, (chunks.manifest().chunkSize() + PART_BYTES - 1) / PART_BYTES);
+		int chunk = index / perChunk;
+		int from = (index % perChunk) * PART_BYTES;
+		if (chunk >= chunks.manifest().chunks()) {
+			return new byte[0];
+		}
+		byte[] bytes = chunks.chunk(chunk);
+		return Arrays.copyOfRange(bytes, Math.min(from, bytes.length), Math.min(bytes.length, from + PART_BYTES));
+	}
+
+	private void loaded(ChunkSet chunks, LoadResult result) {
+		String expected = chunks.manifest().wholeDigest();
+		if (result instanceof LoadResult.Loaded loaded && loaded.status().digest().equals(expected)) {
+			this.poll.run();
+			confirm(chunks);
+			return;
+		}
+		this.node.events().record("load-failed", String.valueOf(result));
+		retry(chunks);
+	}
+
+	private void retry(ChunkSet chunks) {
+		this.poll.run();
+		this.loop.schedule(() -> {
+			if (runs(chunks.manifest().wholeDigest())) {
+				finish(chunks);
+			}
+			else if (!this.closed) {
+				load(chunks);
+			}
+		}, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// The status behind admission must be that of the loaded target before requests run.
+	private void confirm(ChunkSet chunks) {
+		if (runs(chunks.manifest().wholeDigest())) {
+			finish(chunks);
+		}
+		else {
+			retry(chunks);
+		}
+	}
+
+	private void finish(ChunkSet chunks) {
+		this.busy = false;
+		this.node.events().record("switch-done", chunks.manifest().version());
+		this.gate.reopen(CloseReason.SWITCHING);
+		this.changed.run();
+	}
+
+}
