--- a/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
@@ -95,6 +95,10 @@
 
 	private volatile boolean closed;
 
+	private volatile boolean switching;
+
+	private volatile String waiting = "";
+
 	/**
 	 * Creates the parts and registers the handlers.
 	 * @param node parts of the process
@@ -123,6 +127,10 @@
 		this.change = new VersionSwitch(node, gate, target, status, poll, this.loop, this::changed);
 		new ChunkServer(node, this.store);
 		node.streams().onMessage(Frame.BodyCase.CHUNKS_HELD, this::held);
+		node.report()
+			.status((report) -> report.setRolloutPhase(phase())
+				.setChunksHeldPermille(heldPermille())
+				.setWantedVersion(node.configuration().rules().modelFor(service).map(Rule.Model::version).orElse("")));
 	}
 
 	/**
@@ -153,6 +161,22 @@
 		return this.view.own().phase().name();
 	}
 
+	/**
+	 * Tells whether the target is out for a switch that this agent started in its turn.
+	 * @return false also while an empty target is loaded
+	 */
+	public boolean switching() {
+		return this.switching && this.change.busy();
+	}
+
+	/**
+	 * Returns why this agent does not switch.
+	 * @return the reason of the last decision, for operators
+	 */
+	public String waiting() {
+		return this.waiting;
+	}
+
 	/**
 	 * Returns the part of the wanted version that is held.
 	 * @return parts per thousand
@@ -339,6 +363,7 @@
 		if (this.change.empty()) {
 			// The target is out already, so it loads at once and takes nobody's place.
 			if (current != null && this.verified == current) {
+				this.switching = false;
 				this.change.start(current.chunks());
 			}
 			return;
@@ -351,8 +376,12 @@
 		RolloutEntry own = this.view.own();
 		if (decision instanceof SwitchDecision.Switch && current != null) {
 			this.view.announce(own.key(), RolloutPhase.OUT, own.late());
+			this.switching = true;
 			this.change.start(current.chunks());
 		}
+		else if (decision instanceof SwitchDecision.Wait wait) {
+			this.waiting = wait.reason();
+		}
 		else if (decision instanceof SwitchDecision.MoveBack back) {
 			this.node.events().record("rollout-late", "moved back " + back.late() + " times");
 			this.view.announce(own.key(), own.phase(), back.late());
--- a/daemon/src/main/java/org/baobabknot/agent/weights/VersionSwitch.java
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/VersionSwitch.java
@@ -47,7 +47,7 @@
 
 	private final Runnable changed;
 
-	private boolean busy;
+	private volatile boolean busy;
 
 	private boolean closed;
 
