Add the experiments overload, retries and slow

Each runs entry, agents and stand-in targets in one process and then round robin with blind retry in the same run.

The claim book has a focused test for the sequence number of claims, which the schedules do not detect. With the sequence ignored the test fails.

--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/LocalFleet.java
@@ -0,0 +1,173 @@
+package org.baobabknot.experiment;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.baobabknot.agent.AgentRole;
+import org.baobabknot.configuration.Revision;
+import org.baobabknot.daemon.Daemon;
+import org.baobabknot.entry.EntryRole;
+import org.baobabknot.membership.Member;
+import org.baobabknot.membership.MemberRole;
+import org.baobabknot.membership.MemberState;
+import org.baobabknot.membership.MemberUpdate;
+import org.baobabknot.rules.RulesReader;
+import org.baobabknot.rules.RulesResult;
+import org.baobabknot.settings.ProcessRole;
+import org.baobabknot.settings.Settings;
+import org.baobabknot.standin.StandinServer;
+import org.baobabknot.standin.plain.PlainSettings;
+import org.baobabknot.standin.plain.PlainStandin;
+
+/**
+ * Stand-in targets of one plain service with an agent each and one entry, all in this
+ * process. Their rules and member list are given to them, so no platform is needed.
+ */
+final class LocalFleet implements AutoCloseable {
+
+	static final String SERVICE = "menus";
+
+	private static final String DOMAIN = "d";
+
+	private static final int THREADS = 2;
+
+	private static final int MAX_REQUESTS = 10_000;
+
+	private static final long READY_SECONDS = 20;
+
+	private static final URI NO_PLATFORM = URI.create("http://127.0.0.1:1");
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+
+	private final List<PlainStandin> services = new ArrayList<>();
+
+	private final List<StandinServer> targets = new ArrayList<>();
+
+	private final List<Daemon> daemons = new ArrayList<>();
+
+	private final Daemon entry;
+
+	/**
+	 * Starts a fleet and waits until the entry is connected to every agent.
+	 * @param count number of targets
+	 * @param settings settings of each target; its capacity is the limit of its agent
+	 * @param queued requests that wait at one agent at most
+	 * @param rules rules in force
+	 * @throws IOException if a process cannot be set up
+	 */
+	LocalFleet(int count, PlainSettings settings, int queued, String rules) throws IOException {
+		this.entry = start(settings(ProcessRole.ENTRY, "entry", Optional.empty(), queued), rules);
+		List<Member> members = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			PlainStandin service = new PlainStandin(settings);
+			StandinServer target = StandinServer.start(this.group, 0, service);
+			this.services.add(service);
+			this.targets.add(target);
+			Settings.Target at = new Settings.Target(SERVICE, URI.create(target.url()), Settings.TargetKind.PLAIN,
+					settings.capacity(), settings.capacity());
+			Daemon agent = start(settings(ProcessRole.AGENT, "agent-" + i, Optional.of(at), queued), rules);
+			members.add(new Member("agent-" + i, MemberRole.AGENT, DOMAIN, DOMAIN, "127.0.0.1",
+					agent.address().getPort(), SERVICE, MemberState.LIVE));
+		}
+		this.entry.node().membership().apply(MemberUpdate.full(1, members));
+		awaitReady(count);
+	}
+
+	private Daemon start(Settings settings, String text) throws IOException {
+		Daemon daemon = new Daemon(settings, (settings.role() == ProcessRole.ENTRY) ? EntryRole::new : AgentRole::new);
+		this.daemons.add(0, daemon);
+		RulesResult.Accepted rules = (RulesResult.Accepted) new RulesReader().read(text);
+		daemon.node()
+			.configuration()
+			.adopt(new Revision(1, "experiment", "experiment", Instant.EPOCH, text, rules.rules()));
+		daemon.start().join();
+		return daemon;
+	}
+
+	private static Settings settings(ProcessRole role, String instance, Optional<Settings.Target> target, int queued) {
+		Optional<Settings.Http> http = (role == ProcessRole.ENTRY)
+				? Optional.of(new Settings.Http("127.0.0.1", 0, MAX_REQUESTS, 4096, 1 << 20, 10_000, 10_000, 60_000))
+				: Optional.empty();
+		Settings.Address any = new Settings.Address("127.0.0.1", 0);
+		return new Settings(role, instance, DOMAIN, DOMAIN, any,
+				new Settings.Operator("127.0.0.1", 0, Optional.empty()), http,
+				new Settings.Platform(NO_PLATFORM, NO_PLATFORM, Optional.empty()), target, Optional.empty(),
+				new Settings.Links(1 << 20, 1 << 20),
+				new Settings.Limits(THREADS, MAX_REQUESTS, queued, 1 << 20, MAX_REQUESTS, 100),
+				new Settings.Timeouts(5_000, 60_000, 100, 5_000, 500, 600_000));
+	}
+
+	private void awaitReady(int count) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+		while (this.entry.node().peers().count() < count || !allReady()) {
+			if (System.nanoTime() - end > 0) {
+				throw new IllegalStateException("the fleet is not ready after " + READY_SECONDS + " s");
+			}
+			try {
+				Thread.sleep(20);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IllegalStateException("interrupted", ex);
+			}
+		}
+	}
+
+	private boolean allReady() {
+		return this.daemons.stream().allMatch((daemon) -> daemon.role().ready());
+	}
+
+	InetSocketAddress entry() {
+		return ((EntryRole) this.entry.role()).address();
+	}
+
+	List<InetSocketAddress> targetAddresses() {
+		return this.targets.stream().map((target) -> new InetSocketAddress("127.0.0.1", target.port())).toList();
+	}
+
+	StandinServer target(int index) {
+		return this.targets.get(index);
+	}
+
+	/**
+	 * Returns the number of requests that ran on all targets.
+	 * @return runs so far
+	 */
+	int runs() {
+		return this.services.stream().mapToInt((service) -> service.runs().size()).sum();
+	}
+
+	/**
+	 * Returns the sum of a counter of the entry over all its labels.
+	 * @param name name of the counter without its suffix
+	 * @return the sum
+	 */
+	double entryCounter(String name) {
+		return this.entry.node()
+			.metrics()
+			.scrape((candidate) -> candidate.equals(name))
+			.stream()
+			.flatMap((snapshot) -> snapshot.getDataPoints().stream())
+			.filter(io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot.class::isInstance)
+			.map(io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot.class::cast)
+			.mapToDouble(io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot::getValue)
+			.sum();
+	}
+
+	@Override
+	public void close() {
+		this.daemons.forEach(Daemon::close);
+		this.targets.forEach(StandinServer::close);
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2, TimeUnit.SECONDS);
+	}
+
+}
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -30,6 +30,16 @@
 	/** Checks of the guarantees under faults. */
 	FAULTS("draws faults from a seed and checks every guarantee under load", FaultsExperiment::new),
 
+	/** Twice the capacity. */
+	OVERLOAD("loads targets with twice their capacity, with a baseline in the same run", OverloadExperiment::new),
+
+	/** Failing targets. */
+	RETRIES("counts attempts while 30% of the targets fail, with a baseline in the same run", RetriesExperiment::new),
+
+	/** One slow target. */
+	SLOW("compares latency with and without one slow target of 8, with a baseline in the same run",
+			SlowExperiment::new),
+
 	/** Cost of tables and messages for the capacity page. */
 	TABLES("heap per element of each table, bytes per message, connections by fleet size", TablesExperiment::new);
 
--- a/core/src/test/java/org/baobabknot/record/ClaimBookTests.java
+++ b/core/src/test/java/org/baobabknot/record/ClaimBookTests.java
@@ -73,6 +73,20 @@
 					contains(new Granted(ID)));
 		}
 
+		// Guards against taking the claim of an earlier refused request for the new one,
+		// which another agent may be replacing at the same time.
+		@Test
+		void doesNotSettleByAnEarlierOwnClaim() {
+			Claim earlier = new Claim(KEY, "agent-1", 3, 77, 990);
+			ReadBucket read = (ReadBucket) ClaimBookTests.this.book.claim(ID, KEY, TIME).get(0);
+			WriteBucket write = (WriteBucket) ClaimBookTests.this.book.readDone(read, value(earlier), TIME).get(0);
+			ReadBucket back = (ReadBucket) ClaimBookTests.this.book.writeDone(write, new StoreWrite.Unsure(), TIME)
+				.get(0);
+			List<ClaimCommand> next = ClaimBookTests.this.book.readDone(back, value(earlier), TIME);
+			assertThat(next, hasSize(1));
+			assertThat(next.get(0), instanceOf(WriteBucket.class));
+		}
+
 		// Guards against handing over without a claim while the store is down.
 		@Test
 		void deniesWhenTheStoreIsDown() {
