Check refused connections during a shutdown and reserve blocks of ports

A trial with an entry that closes its listener at once on SIGTERM was not detected: a refused connection was only tried elsewhere. Such a connection is now a violation while the balancer may still send. Two runs that start at the same time chose 68 ports each from the same 22,000 and one of them failed with 'Address already in use'; each run now holds a block of its own.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/CallerChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/CallerChecks.java
@@ -39,6 +39,21 @@
 		}
 	}
 
+	/**
+	 * Checks that an entry accepts connections for as long as the balancer may send them.
+	 * @param refused connections that were not accepted
+	 * @param balancerLagMillis time for which the balancer may send to a leaving entry
+	 */
+	void checkRefused(List<FaultLoad.Refused> refused, long balancerLagMillis) {
+		for (FaultHistory.Shutdown shutdown : this.history.shutdowns()) {
+			refused.stream()
+				.filter((connection) -> connection.entry().equals(shutdown.entry())
+						&& connection.atMillis() >= shutdown.signalMillis()
+						&& connection.atMillis() < shutdown.signalMillis() + balancerLagMillis)
+				.forEach((connection) -> this.violations.add(Guarantee.SHUTDOWN, connection + " during " + shutdown));
+		}
+	}
+
 	private void answer(FaultRequest request, FaultRequest.Attempt attempt) {
 		if (attempt.outcome() == LoadOutcome.WRONG) {
 			this.violations.add(Guarantee.ANSWER, request.request().id() + ": " + attempt);
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultLoad.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultLoad.java
@@ -52,6 +52,8 @@
 
 	private final List<FaultRequest> finished = new ArrayList<>();
 
+	private final List<Refused> refused = new ArrayList<>();
+
 	private final List<CompletableFuture<Void>> callers = new ArrayList<>();
 
 	private volatile boolean stopped;
@@ -118,6 +120,9 @@
 		long sent = System.currentTimeMillis();
 		return this.caller.send(address, request).thenCompose((answer) -> {
 			LoadOutcome outcome = LoadOutcome.of(request, answer);
+			if (!answer.connected()) {
+				refused(new Refused(this.entries.getOrDefault(address, ""), sent));
+			}
 			if (answer.connected() || before.size() + 1 >= MAX_ATTEMPTS) {
 				before.add(new FaultRequest.Attempt(this.entries.getOrDefault(address, ""), sent,
 						System.currentTimeMillis(), answer.status(), outcome, detail(request, answer, outcome)));
@@ -150,6 +155,18 @@
 		};
 	}
 
+	private void refused(Refused connection) {
+		synchronized (this.refused) {
+			this.refused.add(connection);
+		}
+	}
+
+	List<Refused> refused() {
+		synchronized (this.refused) {
+			return List.copyOf(this.refused);
+		}
+	}
+
 	private void finish(FaultRequest request) {
 		synchronized (this.finished) {
 			this.finished.add(request);
@@ -183,4 +200,14 @@
 		this.caller.close();
 	}
 
+	/**
+	 * A connection that an entry did not accept.
+	 *
+	 * @param entry the entry
+	 * @param atMillis when the connection was tried
+	 */
+	record Refused(String entry, long atMillis) {
+
+	}
+
 }
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultRun.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultRun.java
@@ -13,6 +13,8 @@
  */
 final class FaultRun implements AutoCloseable {
 
+	private static final FleetOptions OPTIONS = FleetOptions.small();
+
 	private static final int CALLERS = 24;
 
 	private static final long READY_MILLIS = 90_000;
@@ -48,7 +50,7 @@
 	static FaultRun start(ExperimentContext context, int entries, int engines, long seed, boolean preload)
 			throws IOException, InterruptedException, TimeoutException {
 		Deployment deployment = Deployment.landshut().sized(entries, engines);
-		Fleet fleet = Fleet.start(context, deployment, FleetOptions.small().withSeed(seed));
+		Fleet fleet = Fleet.start(context, deployment, OPTIONS.withSeed(seed));
 		if (preload) {
 			EnginePreload.load(fleet, seed);
 		}
@@ -106,7 +108,9 @@
 		TargetChecks targets = new TargetChecks(this.site.fleet().digests(), this.site.history(), violations);
 		targets.read(this.site.fleet());
 		targets.checkAll(this.site.rules().outs(), requests);
-		new CallerChecks(this.site.history(), violations).checkAll(requests);
+		CallerChecks callers = new CallerChecks(this.site.history(), violations);
+		callers.checkAll(requests);
+		callers.checkRefused(this.load.refused(), OPTIONS.balancerLagMillis());
 		List<RevisionWatch.Seen> seen = this.watch.seen();
 		new RevisionChecks(this.site.history(), this.site::domainOf, violations).checkAll(this.site.rules().accepted(),
 				seen, this.site.rules().bothAccepted());
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
@@ -7,13 +7,15 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Finds free ports on 127.0.0.1. They lie below the ports that the system gives to
  * outgoing connections: a port from that range can be taken by a connection before its
- * process is started, or while a process is down for a test. All are held open until the
- * last is found, so that they differ.
+ * process is started, or while a process is down for a test. The ports come from one
+ * block, whose first port stays bound until this program ends, so that two runs at the
+ * same time never choose from the same block.
  */
 final class FreePorts {
 
@@ -24,43 +26,60 @@
 	 */
 	private static final int LAST = 32_000;
 
-	private static final int ATTEMPTS = 20_000;
+	private static final int BLOCK = 220;
+
+	private static final int ATTEMPTS = 500;
+
+	private static final List<ServerSocket> GUARDS = new ArrayList<>();
 
 	private FreePorts() {
 	}
 
-	static List<Integer> find(int count) {
-		List<ServerSocket> sockets = new ArrayList<>();
-		try {
-			List<Integer> ports = new ArrayList<>();
-			for (int attempt = 0; attempt < ATTEMPTS && ports.size() < count; attempt++) {
-				int port = ThreadLocalRandom.current().nextInt(FIRST, LAST);
-				ServerSocket socket = new ServerSocket();
-				sockets.add(socket);
-				if (bound(socket, port)) {
-					ports.add(port);
+	static synchronized List<Integer> find(int count) {
+		if (count >= BLOCK) {
+			throw new IllegalArgumentException("at most " + (BLOCK - 1) + " ports");
+		}
+		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+			int block = FIRST + BLOCK * ThreadLocalRandom.current().nextInt((LAST - FIRST) / BLOCK);
+			Optional<ServerSocket> guard = bind(block);
+			if (guard.isPresent()) {
+				List<Integer> ports = freeAfter(block, count);
+				if (ports.size() == count) {
+					GUARDS.add(guard.get());
+					return ports;
 				}
+				close(guard.get());
 			}
-			if (ports.size() < count) {
-				throw new IOException("fewer than " + count + " free ports from " + FIRST + " to " + LAST);
-			}
-			return ports;
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
 		}
-		finally {
-			sockets.forEach(FreePorts::close);
+		throw new IllegalStateException("no " + count + " free ports from " + FIRST + " to " + LAST);
+	}
+
+	private static List<Integer> freeAfter(int block, int count) {
+		List<Integer> ports = new ArrayList<>();
+		for (int port = block + 1; port < block + BLOCK && ports.size() < count; port++) {
+			Optional<ServerSocket> socket = bind(port);
+			if (socket.isPresent()) {
+				ports.add(port);
+				close(socket.get());
+			}
 		}
+		return ports;
 	}
 
-	private static boolean bound(ServerSocket socket, int port) {
+	private static Optional<ServerSocket> bind(int port) {
 		try {
-			socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
-			return true;
+			ServerSocket socket = new ServerSocket();
+			try {
+				socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+				return Optional.of(socket);
+			}
+			catch (IOException ex) {
+				socket.close();
+				return Optional.empty();
+			}
 		}
 		catch (IOException ex) {
-			return false;
+			throw new UncheckedIOException(ex);
 		}
 	}
 
--- a/benchmarks/src/test/java/org/baobabknot/experiment/GuaranteeCheckTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/experiment/GuaranteeCheckTests.java
@@ -143,6 +143,21 @@
 
 	}
 
+	@Nested
+	class Connections {
+
+		// Guards against a check that misses an entry that stops accepting too early.
+		@Test
+		void areAcceptedDuringTheLagOfTheBalancer() {
+			GuaranteeCheckTests.this.history.shutdown(new FaultHistory.Shutdown("entry-1", 1_000, 5_000, 0));
+			new CallerChecks(GuaranteeCheckTests.this.history, GuaranteeCheckTests.this.violations)
+				.checkRefused(List.of(new FaultLoad.Refused("entry-1", 1_200), new FaultLoad.Refused("entry-1", 3_000),
+						new FaultLoad.Refused("entry-2", 1_200)), 1_500);
+			assertThat(found(Guarantee.SHUTDOWN), equalTo(1));
+		}
+
+	}
+
 	@Nested
 	class Revisions {
 
