Wait for a restarted process before the next fault of the experiment

A second SIGTERM to an entry that was still starting ended it with status 143, before its signal handler was installed; no request was concerned.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -212,12 +212,31 @@
 	private void awaitHealthy() throws IOException, InterruptedException {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
 		for (Deployment.Instance instance : this.plan.deployment().instances()) {
-			while (!healthy(instance)) {
-				LaunchedProcess process = hostOf(instance);
-				if (!process.alive() || System.nanoTime() - end > 0) {
-					throw new IOException(instance.name() + " did not start: " + process.logText());
-				}
-				TimeUnit.MILLISECONDS.sleep(50);
+			awaitHealthy(instance, end);
+		}
+	}
+
+	private void awaitHealthy(Deployment.Instance instance, long endNanos) throws IOException, InterruptedException {
+		while (!healthy(instance)) {
+			LaunchedProcess process = hostOf(instance);
+			if (!process.alive() || System.nanoTime() - endNanos > 0) {
+				throw new IOException(instance.name() + " did not start: " + process.logText());
+			}
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+	}
+
+	/**
+	 * Waits until a process that was started again answers its health check.
+	 * @param instance the instance
+	 * @throws IOException when the process has ended or does not answer in time
+	 * @throws InterruptedException when interrupted
+	 */
+	public void awaitHealthy(String instance) throws IOException, InterruptedException {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_MILLIS);
+		for (Deployment.Instance candidate : this.plan.deployment().instances()) {
+			if (candidate.name().equals(instance)) {
+				awaitHealthy(candidate, end);
 			}
 		}
 	}
