Send a request again to its only agent after a lost connection

A request whose agents all failed was refused although the only agent of its service was back within milliseconds. Answers with status 500 and above count as failures for the balancer.

--- a/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
+++ b/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
@@ -86,6 +86,26 @@
 		return this.everConnected;
 	}
 
+	int connectedAgents() {
+		return (int) this.node.peers()
+			.all()
+			.stream()
+			.filter((connection) -> connection.peer().getRole() == Role.AGENT)
+			.count();
+	}
+
+	/**
+	 * Whether the service has live agents of which none is connected, so that waiting for
+	 * a connection makes sense.
+	 * @param service the service
+	 * @return false if an agent is connected, or if there is none
+	 */
+	boolean reconnecting(String service) {
+		List<Member> members = this.node.membership().agents(service);
+		return members.stream().anyMatch((member) -> member.state() == MemberState.LIVE)
+				&& members.stream().noneMatch((member) -> connection(member.instance()).isPresent());
+	}
+
 	void report(String agent, Load load) {
 		this.balancer.update(agent, new LoadReport(load.getRunning(), load.getQueued(), load.getLimit(),
 				availability(load), TimeUnit.MICROSECONDS.toNanos(load.getLatencyUs())), this.node.now());
@@ -140,6 +160,7 @@
 	public void closed(Connection connection, Failure failure) {
 		if (connection.peer().getRole() == Role.AGENT && connection(connection.peerName()).isEmpty()) {
 			this.balancer.remove(connection.peerName());
+			this.node.events().record("agent-lost", failure.toString());
 		}
 	}
 
--- a/daemon/src/main/java/org/baobabknot/entry/CallerHandler.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerHandler.java
@@ -1,18 +1,13 @@
 package org.baobabknot.entry;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.UnsafeByteOperations;
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -43,10 +38,10 @@
 
 	private final ArrayDeque<Object> waiting = new ArrayDeque<>();
 
-	private final ArrayDeque<Runnable> unwritten = new ArrayDeque<>();
-
 	private @Nullable ChannelHandlerContext context;
 
+	private @Nullable CallerWriter writer;
+
 	private @Nullable Exchange exchange;
 
 	private State state = State.IDLE;
@@ -74,8 +69,6 @@
 
 	private boolean draining;
 
-	private boolean flushing;
-
 	private boolean processing;
 
 	CallerHandler(CallerServer server) {
@@ -101,6 +94,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
+		this.writer = new CallerWriter(added);
 	}
 
 	@Override
@@ -134,11 +128,7 @@
 	public void channelWritabilityChanged(ChannelHandlerContext from) {
 		if (from.channel().isWritable()) {
 			progress();
-			Runnable next = this.unwritten.poll();
-			while (next != null) {
-				next.run();
-				next = this.unwritten.poll();
-			}
+			writer().writable();
 		}
 	}
 
@@ -206,20 +196,7 @@
 
 	@Override
 	public void writeBody(ByteString part, Runnable written) {
-		ByteBuf bytes = context().alloc().buffer(part.size());
-		try {
-			UnsafeByteOperations.unsafeWriteTo(part, new BufferOutput(bytes));
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("a buffer in memory accepts every write", ex);
-		}
-		write(new DefaultHttpContent(bytes));
-		if (context().channel().isWritable()) {
-			written.run();
-		}
-		else {
-			this.unwritten.add(written);
-		}
+		writer().writeBody(part, written);
 	}
 
 	@Override
@@ -376,7 +353,7 @@
 		progress();
 		if (!this.keepAlive || this.draining) {
 			this.state = State.CLOSED;
-			context().writeAndFlush(context().alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+			writer().closeAfterWrites();
 			return;
 		}
 		this.state = State.IDLE;
@@ -397,17 +374,16 @@
 		}
 	}
 
-	// Flushes once after all events that are ready on this loop, so that parts which
-	// arrive together leave together.
 	private void write(Object message) {
-		context().write(message, context().voidPromise());
-		if (!this.flushing) {
-			this.flushing = true;
-			eventLoop().execute(() -> {
-				this.flushing = false;
-				context().flush();
-			});
+		writer().write(message);
+	}
+
+	private CallerWriter writer() {
+		CallerWriter open = this.writer;
+		if (open == null) {
+			throw new IllegalStateException("not in a pipeline");
 		}
+		return open;
 	}
 
 	private void read() {
--- a/daemon/src/main/java/org/baobabknot/entry/EntryRole.java
+++ b/daemon/src/main/java/org/baobabknot/entry/EntryRole.java
@@ -58,6 +58,7 @@
 				this.forwarding::openExchanges);
 		metrics.gauge(node.metrics(), "baobabknot_callers_open", "open connections of callers",
 				this.server::connections);
+		node.report().status((status) -> status.setConnected(this.agents.connectedAgents()));
 	}
 
 	@Override
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -1,8 +1,6 @@
 package org.baobabknot.entry;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -19,7 +17,6 @@
 import org.baobabknot.protocol.generated.ResponseStart;
 import org.baobabknot.retry.AttemptOutcome;
 import org.baobabknot.retry.RetryDecision;
-import org.baobabknot.routing.Choice;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,7 +42,7 @@
 
 	private final RequestBody body;
 
-	private final Set<String> excluded = new HashSet<>();
+	private final Candidates candidates;
 
 	private final ScheduledFuture<?> deadline;
 
@@ -55,6 +52,8 @@
 
 	private int attempts;
 
+	private int status;
+
 	/** Incarnation of the agent that got the last attempt. */
 	private long incarnation;
 
@@ -73,6 +72,7 @@
 		this.caller = caller;
 		this.request = request;
 		this.body = new RequestBody(request.claimed());
+		this.candidates = new Candidates(forwarding, request, this.body);
 		long left = Math.max(0, request.deadlineNanos() - forwarding.now());
 		this.deadline = caller.eventLoop().schedule(this::deadlinePassed, left, TimeUnit.NANOSECONDS);
 	}
@@ -191,22 +191,29 @@
 		if (this.done) {
 			return;
 		}
-		Optional<Choice> choice = this.forwarding.choose(this.request, this.body, this.excluded);
-		Optional<Connection> connection = choice.flatMap((chosen) -> this.forwarding.connection(chosen.agent()));
-		if (choice.isEmpty() || connection.isEmpty()) {
+		Optional<Connection> connection = this.candidates.connect(this.refusal == null);
+		if (connection.isPresent()) {
+			send(connection.get());
+		}
+		else if (this.refusal == null && this.candidates.tryWait()) {
+			this.caller.eventLoop().schedule(this::attempt, Candidates.WAIT_MS, TimeUnit.MILLISECONDS);
+		}
+		else {
 			Problem none = (this.refusal != null) ? this.refusal : Problem.notRun(RefusalReason.REFUSED_UNAVAILABLE,
 					"no agent of " + this.request.service() + " accepts requests", 0);
 			end("refused", "");
 			this.caller.answer(none, this.request.idText());
-			return;
 		}
+	}
+
+	private void send(Connection connection) {
 		this.attempts++;
-		Attempt next = new Attempt(this, this.caller.eventLoop(), choice.get().agent(), this.forwarding.now(), false);
+		Attempt next = new Attempt(this, this.caller.eventLoop(), connection.peerName(), this.forwarding.now(), false);
 		this.attempt = next;
-		this.incarnation = connection.get().peer().getIncarnation();
+		this.incarnation = connection.peer().getIncarnation();
 		this.forwarding.started(next.agent());
-		next.opened(connection.get()
-			.open(this.forwarding.start(this.request, this.body, connection.get(), this.forwarding.now()), next));
+		next.opened(connection.open(this.forwarding.start(this.request, this.body, connection, this.forwarding.now()),
+				next));
 		this.body.replay(next.stream());
 		readMore();
 	}
@@ -240,12 +247,13 @@
 			if (decision instanceof RetryDecision.Again again) {
 				finish(from, false);
 				from.cancel("answer has status " + start.getStatus());
-				this.excluded.add(from.agent());
+				this.candidates.exclude(from.agent());
 				again(again);
 				return;
 			}
 		}
 		this.answerStarted = true;
+		this.status = start.getStatus();
 		this.caller.startAnswer(this.forwarding.head(start, this.request));
 	}
 
@@ -263,7 +271,7 @@
 			broken(from, "body of " + from.received() + " bytes, announced were " + end.getLength());
 			return;
 		}
-		finish(from, true);
+		finish(from, this.status < SERVER_ERROR);
 		from.close();
 		end("whole", "");
 		this.caller.endAnswer();
@@ -277,7 +285,7 @@
 			this.forwarding.abandoned(from.agent());
 		}
 		from.close();
-		this.excluded.add(from.agent());
+		this.candidates.exclude(from.agent());
 		this.refusal = Problem.notRun(refused.getReason(), refused.getDetail(), refused.getRetryAfterMs());
 		decide(from, Outcomes.of(refused, this.attempts), refused.getReason() + " at " + from.agent());
 	}
@@ -285,7 +293,7 @@
 	private void failed(Attempt from, Failed failed) {
 		finish(from, false);
 		from.close();
-		this.excluded.add(from.agent());
+		this.candidates.exclude(from.agent());
 		this.mayHaveRun = true;
 		decide(from, (failed.getUnknown()) ? AttemptOutcome.UNKNOWN : AttemptOutcome.FAILED,
 				failed.getStep() + " with " + failed.getPeer() + " failed: " + failed.getDetail());
@@ -320,7 +328,7 @@
 	}
 
 	private void decide(Attempt from, AttemptOutcome outcome, String detail) {
-		this.excluded.add(from.agent());
+		this.candidates.exclude(from.agent());
 		boolean repeatable = this.body.replayable();
 		RetryDecision decision = this.forwarding.policy()
 			.decide(this.attempts, outcome, this.request.idempotent(), this.answerStarted, this.request.deadlineNanos(),
--- a/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
@@ -100,6 +100,10 @@
 		return this.agents.connection(agent);
 	}
 
+	boolean reconnecting(String service) {
+		return this.agents.reconnecting(service);
+	}
+
 	CompletableFuture<Connection> awaitConnection(String agent, long timeoutMs) {
 		return this.agents.await(agent, timeoutMs);
 	}
--- a/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
@@ -170,6 +170,40 @@
 			}
 		}
 
+		// Guards against a request that fails because its only agent was just
+		// reconnecting.
+		@Test
+		void onlyAgentIsTriedAgainAfterItsConnectionWasLost() throws Exception {
+			try (EntryFixture fixture = new EntryFixture(1); RawCaller caller = fixture.caller()) {
+				AtomicInteger calls = new AtomicInteger();
+				fixture.agents.get(0).script = (stream, first) -> (calls.getAndIncrement() == 0)
+						? FakeAgent.drop(stream) : FakeAgent.echo(stream, first);
+				caller.post("/s/x", "x");
+				assertThat(caller.read().body(), is("x"));
+			}
+		}
+
+		// Guards against answers of failing targets that reach callers while another
+		// target works, and against orders that are repeated because of them.
+		@Test
+		void failedAnswerIsRepeatedOnlyForIdempotentRequests() throws Exception {
+			try (EntryFixture fixture = new EntryFixture(2); RawCaller caller = fixture.caller()) {
+				AtomicInteger calls = new AtomicInteger();
+				fixture.agents.forEach((agent) -> agent.script = (stream, first) -> {
+					if (calls.getAndIncrement() % 2 == 0) {
+						FakeAgent.head(stream, 500);
+						FakeAgent.end(stream, 0);
+						return FakeAgent.ignore(stream, first);
+					}
+					return FakeAgent.echo(stream, first);
+				});
+				caller.post("/s/x", "x");
+				assertThat(caller.read().status(), is(200));
+				caller.post("/s/orders", "order");
+				assertThat(caller.read().status(), is(500));
+			}
+		}
+
 		// Guards against an order that is sent again after an unknown outcome.
 		@Test
 		void unknownFailureOfAnOrderIsReportedAndNotRepeated() throws Exception {
