Ask several peers after a pause, and the connections opened anew

The pause test failed once on the busy machine: the gate opened with the old revision. During a pause of more than 1.5 s the peers close their connections, and the loss of the connection that was asked counted as the answer. Now up to 3 peers are asked, a lost connection is no answer, and the connections opened in their place are asked too; the limit of 500 ms runs on the event loop instead of a timer that also runs while the loop is stopped.

--- a/daemon/src/main/java/org/baobabknot/gossip/Gossip.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/Gossip.java
@@ -1,8 +1,7 @@
 package org.baobabknot.gossip;
 
+import java.util.Collections;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -18,6 +17,8 @@
 
 	private static final long ANSWER_MS = 500;
 
+	private static final int ASKED = 3;
+
 	private final EventLoop loop;
 
 	private final RuleSync rules;
@@ -49,6 +50,14 @@
 		this.pauses = pauses;
 		this.peers = peers;
 		pauses.onPause(this::resumed);
+		peers.listen(new PeerListener() {
+			@Override
+			public void opened(Connection connection) {
+				if (!pauses.open()) {
+					ask(connection);
+				}
+			}
+		});
 		membership.listen((snapshot) -> watch.membersChanged());
 	}
 
@@ -77,14 +86,21 @@
 		this.loop.scheduleWithFixedDelay(task, first, intervalMs, TimeUnit.MILLISECONDS);
 	}
 
+	// During a longer pause the peers have closed their connections, so a lost connection
+	// is no answer; the connections opened in their place are asked as well.
 	private void resumed() {
 		List<Connection> open = this.peers.all();
-		Optional<Connection> peer = open.isEmpty() ? Optional.empty()
-				: Optional.of(open.get(ThreadLocalRandom.current().nextInt(open.size())));
-		peer.map(this.rules::pull)
-			.orElseGet(CompletableFuture::new)
-			.completeOnTimeout(null, ANSWER_MS, TimeUnit.MILLISECONDS)
-			.thenRun(this.pauses::release);
+		Collections.shuffle(open);
+		open.stream().limit(ASKED).forEach(this::ask);
+		this.loop.schedule(this.pauses::release, ANSWER_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void ask(Connection peer) {
+		this.rules.pull(peer).thenAccept((answered) -> {
+			if (answered) {
+				this.pauses.release();
+			}
+		});
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/gossip/RuleSync.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/RuleSync.java
@@ -133,16 +133,17 @@
 		if (revision <= this.configuration.revision() || connection.isEmpty()) {
 			return CompletableFuture.completedFuture(null);
 		}
-		return pull(connection.get()).completeOnTimeout(null, REQUIRE_MS, TimeUnit.MILLISECONDS);
+		return pull(connection.get()).<Void>thenApply((answered) -> null)
+			.completeOnTimeout(null, REQUIRE_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
 	 * Pulls from a peer whatever is newer than the rules in force.
 	 * @param connection the peer
-	 * @return completed when the peer has answered or is lost
+	 * @return whether the peer has answered; false if it is lost
 	 */
-	public CompletableFuture<Void> pull(Connection connection) {
-		CompletableFuture<Void> answered = new CompletableFuture<>();
+	public CompletableFuture<Boolean> pull(Connection connection) {
+		CompletableFuture<Boolean> answered = new CompletableFuture<>();
 		RulesPull pull = RulesPull.newBuilder().setAboveRevision(this.configuration.revision()).build();
 		connection.open(Frame.newBuilder().setRulesPull(pull), new FrameHandler() {
 			@Override
@@ -151,12 +152,12 @@
 				if (frame.hasRulesValue() && !frame.getRulesValue().getValue().isEmpty()) {
 					tryAdopt(frame.getRulesValue().getValue().toByteArray(), connection.peerName());
 				}
-				answered.complete(null);
+				answered.complete(true);
 			}
 
 			@Override
 			public void lost(Stream stream, Failure failure) {
-				answered.complete(null);
+				answered.complete(false);
 			}
 		});
 		return answered;
