--- a/daemon/src/test/java/org/baobabknot/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryFixture.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntUnaryOperator;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -46,6 +47,10 @@
 	}
 
 	EntryFixture(int count, Settings.Http http) throws IOException {
+		this(count, http, (port) -> port);
+	}
+
+	EntryFixture(int count, Settings.Http http, IntUnaryOperator route) throws IOException {
 		this.daemon = new Daemon(settings(http), EntryRole::new);
 		this.daemon.start().join();
 		RulesResult rules = new RulesReader().read(RULES);
@@ -56,8 +61,8 @@
 		for (int i = 0; i < count; i++) {
 			FakeAgent agent = new FakeAgent(this.group, "agent" + i);
 			this.agents.add(agent);
-			members.add(
-					new Member(agent.name, MemberRole.AGENT, "d", "r", "127.0.0.1", agent.port, "s", MemberState.LIVE));
+			members.add(new Member(agent.name, MemberRole.AGENT, "d", "r", "127.0.0.1", route.applyAsInt(agent.port),
+					"s", MemberState.LIVE));
 		}
 		this.daemon.node().membership().apply(MemberUpdate.full(1, members));
 		await(() -> this.daemon.node().peers().count() == count);
