Give every start of a process a log of its own

The second fleet of one experiment read the log of the first stand-in process, took it for the sign that its own had started, and failed to connect to it.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -131,7 +131,8 @@
 
 	/**
 	 * Starts a Java process with the class path of this repository. Standard output and
-	 * standard error go to {@code NAME.log} in the temporary folder.
+	 * standard error go to {@code NAME.log} in the temporary folder, and to
+	 * {@code NAME-2.log} and so on when a process of the same name was started before.
 	 * @param name the name of the process, unique among the running ones
 	 * @param mainClass the main class
 	 * @param jvmOptions options of the Java machine, such as {@code -Xmx64m}
@@ -149,7 +150,7 @@
 		command.addAll(jvmOptions);
 		command.addAll(List.of("-cp", classPath(), mainClass));
 		command.addAll(arguments);
-		Path log = this.folder.resolve(name + ".log");
+		Path log = newLog(name);
 		synchronized (this.processes) {
 			if (this.closing) {
 				throw new IllegalStateException("start " + name + ": the launcher is closed");
@@ -160,6 +161,14 @@
 		}
 	}
 
+	private Path newLog(String name) {
+		Path log = this.folder.resolve(name + ".log");
+		for (int start = 2; Files.exists(log); start++) {
+			log = this.folder.resolve(name + "-" + start + ".log");
+		}
+		return log;
+	}
+
 	private Process startProcess(List<String> command, Path log) {
 		try {
 			return new ProcessBuilder(command).directory(this.folder.toFile())
