End no answer whose body differs from its Content-Length

The length was compared with BodyEnd only, so an answer that was shorter than its own Content-Length would have left the caller's connection open, and the next answer would have filled the missing bytes.

--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.baobabknot.protocol.Connection;
 import org.baobabknot.protocol.Failure;
@@ -54,6 +56,9 @@
 
 	private int status;
 
+	/** Content-Length of the answer, -1 without one. */
+	private long announced = -1;
+
 	/** Incarnation of the agent that got the last attempt. */
 	private long incarnation;
 
@@ -254,7 +259,10 @@
 		}
 		this.answerStarted = true;
 		this.status = start.getStatus();
-		this.caller.startAnswer(this.forwarding.head(start, this.request));
+		HttpResponse head = this.forwarding.head(start, this.request);
+		this.announced = Forwarding.bodiless(start.getStatus(), this.request) ? -1
+				: HttpUtil.getContentLength(head, -1L);
+		this.caller.startAnswer(head);
 	}
 
 	private void part(Attempt from, ByteString data) {
@@ -263,11 +271,16 @@
 			return;
 		}
 		from.count(data.size());
+		if (this.announced >= 0 && from.received() > this.announced) {
+			broken(from, "body longer than its Content-Length of " + this.announced);
+			return;
+		}
 		this.caller.writeBody(data, () -> from.stream().consumed(data.size()));
 	}
 
 	private void ended(Attempt from, BodyEnd end) {
-		if (!this.answerStarted || end.getLength() != from.received()) {
+		boolean whole = this.announced < 0 || from.received() == this.announced;
+		if (!this.answerStarted || !whole || end.getLength() != from.received()) {
 			broken(from, "body of " + from.received() + " bytes, announced were " + end.getLength());
 			return;
 		}
--- a/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Forwarding.java
@@ -170,14 +170,16 @@
 			head.headers().set("X-Model-Digest", start.getDigest());
 		}
 		head.headers().set("X-Request-Id", request.idText());
-		boolean bodiless = request.method().equals("HEAD") || start.getStatus() == NO_CONTENT
-				|| start.getStatus() == NOT_MODIFIED;
-		if (!bodiless && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+		if (!bodiless(start.getStatus(), request) && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		}
 		return head;
 	}
 
+	static boolean bodiless(int status, CallerRequest request) {
+		return request.method().equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED;
+	}
+
 	private RoutingRequest routing(CallerRequest request, RequestBody body) {
 		if (request.claimed()) {
 			int bucket = Hash128.digest(request.service(), request.workspace(), request.key()).bucket(BUCKETS);
--- a/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
@@ -7,8 +7,10 @@
 import org.baobabknot.protocol.Stream;
 import org.baobabknot.protocol.generated.Failed;
 import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.protocol.generated.Header;
 import org.baobabknot.protocol.generated.Outcome;
 import org.baobabknot.protocol.generated.RefusalReason;
+import org.baobabknot.protocol.generated.ResponseStart;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -256,6 +258,27 @@
 			}
 		}
 
+		// Guards against an answer whose missing bytes are filled by the next one.
+		@Test
+		void answerThatDiffersFromItsContentLengthIsNotEnded() throws Exception {
+			for (int length : new int[] { 3, 5 }) {
+				try (EntryFixture fixture = new EntryFixture(1); RawCaller caller = fixture.caller()) {
+					fixture.agents.get(0).script = (stream, first) -> {
+						stream.send(Frame.newBuilder()
+							.setResponseStart(ResponseStart.newBuilder()
+								.setStatus(200)
+								.addHeaders(Header.newBuilder().setName("Content-Length").setValue("" + length))));
+						stream.sendBody(ByteString.copyFromUtf8("part"));
+						FakeAgent.end(stream, 4);
+						return FakeAgent.ignore(stream, first);
+					};
+					caller.post("/s/x", "x");
+					caller.post("/s/x", "y");
+					assertThat(caller.endsInsideAnAnswer(), is(true));
+				}
+			}
+		}
+
 		// Guards against work for callers that are gone.
 		@Test
 		void callerThatDisappearsCancelsItsRequest() throws Exception {
