--- a/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/baobabknot/settings/SettingsReader.java
@@ -149,14 +149,14 @@
 
 	private Settings.Links links(Section section, boolean required) {
 		long standard = (required) ? -1 : 0;
-		Settings.Links links = new Settings.Links(section.number("machineBytesPerSecond", standard, 1, 1000 * GIBIBYTE),
-				section.number("regionBytesPerSecond", standard, 1, 1000 * GIBIBYTE));
+		Settings.Links links = new Settings.Links(section.number("machineBytesPerSecond", standard, 0, 1000 * GIBIBYTE),
+				section.number("regionBytesPerSecond", standard, 0, 1000 * GIBIBYTE));
 		section.finish();
 		return links;
 	}
 
 	private Settings.Limits limits(Section section) {
-		Settings.Limits limits = new Settings.Limits(section.integer("threads", 2, 1, 256),
+		Settings.Limits limits = new Settings.Limits(section.integer("threads", 1, 1, 256),
 				section.integer("concurrentRequests", 4096, 1, 1_000_000),
 				section.integer("queuedRequests", 256, 1, 1_000_000),
 				section.number("weightBytes", GIBIBYTE / 2, 1, 1000 * GIBIBYTE),
