Connect again to a process that missed a connection attempt

The tool kept the result of a failed connection attempt, so one handshake missed on a busy machine made a process unreachable until the tool ended.

--- a/cli/src/main/java/org/baobabknot/command/FleetClient.java
+++ b/cli/src/main/java/org/baobabknot/command/FleetClient.java
@@ -200,11 +200,21 @@
 	}
 
 	private CompletableFuture<ConnectResult> connection(String host, int port) {
-		return this.connections.computeIfAbsent(host + ":" + port,
-				(key) -> this.connector.connect(host, port, new ConnectionListener() {
+		return this.connections.compute(host + ":" + port,
+				(key, open) -> usable(open) ? open : this.connector.connect(host, port, new ConnectionListener() {
 				}));
 	}
 
+	// A connection that failed is opened anew, because a busy process may miss a
+	// handshake
+	// and be reachable a moment later.
+	private static boolean usable(@Nullable CompletableFuture<ConnectResult> open) {
+		if (open == null || !open.isDone()) {
+			return open != null;
+		}
+		return open.join() instanceof ConnectResult.Connected connected && connected.connection().isOpen();
+	}
+
 	@Override
 	public void close() {
 		for (CompletableFuture<ConnectResult> open : this.connections.values()) {
