--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultsExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultsExperiment.java
@@ -34,7 +34,9 @@
 			.ofType(Integer.class)
 			.defaultsTo(60);
 		parser.accepts("preload", "loads the engines directly and leaves out faults of the distribution of weights");
-		parser.accepts("kind", "strikes only with this kind of fault, such as entry-kill").withRequiredArg();
+		parser.accepts("kind", "strikes only with these kinds of faults, such as entry-kill,link-cut")
+			.withRequiredArg()
+			.withValuesSeparatedBy(',');
 	}
 
 	@Override
@@ -45,7 +47,7 @@
 			kinds.removeIf(FaultKind::needsDistribution);
 		}
 		if (options.has("kind")) {
-			kinds.removeIf((kind) -> !kind.toString().equals(options.valueOf("kind")));
+			kinds.removeIf((kind) -> !options.valuesOf("kind").contains(kind.toString()));
 		}
 		if (kinds.isEmpty()) {
 			throw new IOException("no such kind of fault; known: " + List.of(FaultKind.values()));
