--- a/core/src/test/java/org/baobabknot/distribution/DistributionScheduleTests.java
+++ b/core/src/test/java/org/baobabknot/distribution/DistributionScheduleTests.java
@@ -76,10 +76,8 @@
 			assertThat(figures, inward, lessThanOrEqualTo(1.1));
 			assertThat(figures, ratios[at], lessThan(pulledSteps / (4.0 * SwarmSimulation.STEPS_PER_CHUNK)));
 		}
-		assertThat(ratios[1], lessThanOrEqualTo(1.8));
 		// No faster than log N: one doubling adds no more at the large end than on
-		// average at
-		// the small end.
+		// average at the small end. FetchTimeTests has the bound on the time itself.
 		double perDoubling = (ratios[1] - ratios[0]) / (Math.log(10) / Math.log(2));
 		assertThat(ratios[2] - ratios[1], lessThanOrEqualTo(perDoubling));
 	}
