Shorten the switch of a version and pass over dead agents that are still listed

After every load the agent waited 500 ms before it looked at the engine's status again, and the switches of a group follow each other. A dead agent that the member list still names blocked the rollout of its group, and uploads did not yield to live answers because their bytes were not counted. Ruled out: more replicas out at once, which is the operators' choice; the fetch, because all replicas were ready long before the last switch. Change: the status is looked at every 20 ms after a load; an agent without a connection for 10 s no longer counts as listed; answer bytes reach the pacer.

--- a/daemon/src/main/java/org/baobabknot/agent/AgentMetrics.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentMetrics.java
@@ -1,5 +1,7 @@
 package org.baobabknot.agent;
 
+import java.util.concurrent.atomic.LongAdder;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -11,6 +13,8 @@
  */
 final class AgentMetrics {
 
+	private final LongAdder answerBytes = new LongAdder();
+
 	private final Counter requests;
 
 	private final Counter refused;
@@ -60,4 +64,12 @@
 		this.claims.labelValues(call).inc();
 	}
 
+	void answered(int bytes) {
+		this.answerBytes.add(bytes);
+	}
+
+	long answerBytes() {
+		return this.answerBytes.sum();
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
@@ -99,7 +99,7 @@
 		HttpClientSettings settings = HttpClientSettings.defaults().maxBody(LONGEST_CHUNK_BYTES);
 		HttpClient client = new HttpClient(this.node.group(), origin.getHost(), port, settings, ConnectionHook.NONE);
 		return new AgentWeights(this.node, service, new HttpWeightOrigin(client, CHUNK_TIMEOUT), this.admission,
-				this.target, this.watch::last, this.watch::pollSoon);
+				this.target, this.watch::last, this.watch::pollSoon, this.parts.metrics()::answerBytes);
 	}
 
 	private void register(LoadSource load) {
--- a/daemon/src/main/java/org/baobabknot/agent/HandedOver.java
+++ b/daemon/src/main/java/org/baobabknot/agent/HandedOver.java
@@ -118,6 +118,7 @@
 			return;
 		}
 		this.sent += part.size();
+		this.parts.metrics().answered(part.size());
 		this.stream.sendBody(part);
 		if (!this.stream.writable()) {
 			this.call.pause();
--- a/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
@@ -1,12 +1,16 @@
 package org.baobabknot.agent.weights;
 
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -43,6 +47,9 @@
 	/** Bitmaps are sent again this often in case a connection was replaced. */
 	private static final int TICKS_PER_BITMAP = 20;
 
+	/** A lost connection is replaced within seconds unless the agent is gone. */
+	private static final long UNREACHABLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
 	/** Attempts for a manifest are this many ticks apart. */
 	private static final int TICKS_PER_MANIFEST = 10;
 
@@ -75,6 +82,14 @@
 
 	private final VersionSwitch change;
 
+	private final ChunkServer server;
+
+	private final LongSupplier liveBytes;
+
+	private final Map<String, Long> lastConnected = new HashMap<>();
+
+	private long countedLiveBytes;
+
 	private final AtomicBoolean tickQueued = new AtomicBoolean();
 
 	private volatile @Nullable Download download;
@@ -108,9 +123,10 @@
 	 * @param target the target
 	 * @param status last status of the target
 	 * @param poll asks the target for its status
+	 * @param liveBytes bytes of answers sent since the start, to which bulk bytes yield
 	 */
 	public AgentWeights(Node node, String service, WeightOrigin origin, AdmissionGate gate, Target target,
-			Supplier<Optional<TargetStatus>> status, Runnable poll) {
+			Supplier<Optional<TargetStatus>> status, Runnable poll, LongSupplier liveBytes) {
 		this.node = node;
 		this.service = service;
 		this.origin = origin;
@@ -125,7 +141,8 @@
 		this.view = new RolloutView(node.settings().instance(), node.incarnation());
 		this.gossip = new RolloutGossip(node, service, this.view, this::changed);
 		this.change = new VersionSwitch(node, gate, target, status, poll, this.loop, this::changed);
-		new ChunkServer(node, this.store);
+		this.server = new ChunkServer(node, this.store);
+		this.liveBytes = liveBytes;
 		node.streams().onMessage(Frame.BodyCase.CHUNKS_HELD, this::held);
 		node.report()
 			.status((report) -> report.setRolloutPhase(phase())
@@ -207,6 +224,9 @@
 
 	private void tick() {
 		this.ticks++;
+		long live = this.liveBytes.getAsLong();
+		this.server.live(live - this.countedLiveBytes);
+		this.countedLiveBytes = live;
 		step();
 	}
 
@@ -371,8 +391,7 @@
 		if (this.change.status().isEmpty()) {
 			return;
 		}
-		SwitchDecision decision = this.rank.decide(this.view, group.stream().map(Member::instance).toList(), rule.out(),
-				this.node.now());
+		SwitchDecision decision = this.rank.decide(this.view, reachable(group), rule.out(), this.node.now());
 		RolloutEntry own = this.view.own();
 		if (decision instanceof SwitchDecision.Switch && current != null) {
 			this.view.announce(own.key(), RolloutPhase.OUT, own.late());
@@ -388,4 +407,25 @@
 		}
 	}
 
+	// The member list may name a dead agent for long, which would block the rollout. An
+	// agent without a connection counts as listed for some seconds only; the order then
+	// adds its own time-out before it passes the agent over.
+	private List<String> reachable(List<Member> group) {
+		long now = this.node.now();
+		List<String> names = new ArrayList<>();
+		for (Member member : group) {
+			String instance = member.instance();
+			boolean self = instance.equals(this.node.settings().instance());
+			if (self || this.node.peers().connection(instance).isPresent()) {
+				this.lastConnected.put(instance, now);
+			}
+			long last = this.lastConnected.computeIfAbsent(instance, (absent) -> now);
+			if (now - last < UNREACHABLE_NANOS) {
+				names.add(instance);
+			}
+		}
+		this.lastConnected.keySet().retainAll(group.stream().map(Member::instance).toList());
+		return names;
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/agent/weights/VersionSwitch.java
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/VersionSwitch.java
@@ -30,6 +30,9 @@
 	/** Wait before a failed load is repeated. */
 	private static final long RETRY_MILLIS = 500;
 
+	/** Interval at which the status is looked at after a load. */
+	private static final long CONFIRM_MILLIS = 20;
+
 	/** Time after which a drain is reported; the agent waits on. */
 	private static final long LONG_DRAIN_SECONDS = 30;
 
@@ -135,7 +138,7 @@
 		String expected = chunks.manifest().wholeDigest();
 		if (result instanceof LoadResult.Loaded loaded && loaded.status().digest().equals(expected)) {
 			this.poll.run();
-			confirm(chunks);
+			confirm(chunks, RETRY_MILLIS / CONFIRM_MILLIS);
 			return;
 		}
 		this.node.events().record("load-failed", String.valueOf(result));
@@ -155,13 +158,17 @@
 	}
 
 	// The status behind admission must be that of the loaded target before requests run.
-	private void confirm(ChunkSet chunks) {
+	// Waiting for it in short steps matters: every switch of a group follows another one.
+	private void confirm(ChunkSet chunks, long attempts) {
 		if (runs(chunks.manifest().wholeDigest())) {
 			finish(chunks);
 		}
-		else {
+		else if (attempts == 0) {
 			retry(chunks);
 		}
+		else {
+			this.loop.schedule(() -> confirm(chunks, attempts - 1), CONFIRM_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private void finish(ChunkSet chunks) {
