--- a/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
@@ -36,9 +36,14 @@
 	}
 
 	static synchronized List<Integer> find(int count) {
-		if (count >= BLOCK) {
-			throw new IllegalArgumentException("at most " + (BLOCK - 1) + " ports");
+		List<Integer> ports = new ArrayList<>();
+		while (ports.size() < count) {
+			ports.addAll(findInBlock(Math.min(count - ports.size(), BLOCK - 1)));
 		}
+		return ports;
+	}
+
+	private static List<Integer> findInBlock(int count) {
 		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
 			int block = FIRST + BLOCK * ThreadLocalRandom.current().nextInt((LAST - FIRST) / BLOCK);
 			Optional<ServerSocket> guard = bind(block);
