--- a/benchmarks/src/main/java/org/baobabknot/experiment/Deployment.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Deployment.java
@@ -163,8 +163,8 @@
 	 * @param name its name
 	 * @param engine whether its targets are engines, or plain services otherwise
 	 * @param targets number of targets
-	 * @param coldLimit requests that a target bears at once while cold
-	 * @param capacity requests that a target bears at once when warm
+	 * @param coldLimit requests that a target can run at once while cold
+	 * @param capacity requests that a target can run at once when warm
 	 * @param coldMillis time until a started target is warm, in milliseconds
 	 * @param workMillis time per token of an engine or per request of a plain service
 	 * @param loadMillis time of an engine to load weights after their last byte
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FaultSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FaultSite.java
@@ -65,8 +65,8 @@
 		return choose((instance) -> instance.service().filter((found) -> found.name().equals(service)).isPresent());
 	}
 
-	// Chooses an instance without another fault, so that each fault can be ended on its
-	// own.
+	// Chooses an instance without another fault, so that each fault can be
+	// ended on its own.
 	private String choose(Predicate<Deployment.Instance> which) {
 		List<String> names = this.fleet.deployment()
 			.instances()
--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessFaults.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessFaults.java
@@ -74,8 +74,7 @@
 	}
 
 	// A signal to a Java process that is still starting ends it at once, so the next
-	// fault
-	// waits until the process is healthy.
+	// fault waits until the process is healthy.
 	private static void restart(FaultSite site, String instance) throws IOException, InterruptedException {
 		site.fleet().startProcess(instance);
 		site.fleet().awaitHealthy(instance);
--- a/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/ProcessLauncher.java
@@ -23,8 +23,8 @@
 	/** System property with the root folder of the repository. */
 	public static final String ROOT_PROPERTY = "baobabknot.root";
 
-	// The drain of an entry waits 5 s for the balancer; ending a run need not wait for
-	// it.
+	// The drain of an entry waits 5 s for the balancer; ending a run need not
+	// wait for it.
 	private static final long STOP_GRACE_MILLIS = 1_500;
 
 	// Small heaps and the first compiler tier only: about 50 processes share one machine.
--- a/benchmarks/src/main/java/org/baobabknot/load/LoadGenerator.java
+++ b/benchmarks/src/main/java/org/baobabknot/load/LoadGenerator.java
@@ -13,8 +13,7 @@
 public final class LoadGenerator {
 
 	// A connection refused or found closed before anything was sent is tried elsewhere,
-	// as
-	// a balancer does; the request has not left the caller.
+	// as a balancer does; the request has not left the caller.
 	private static final int CONNECT_ATTEMPTS = 3;
 
 	private final RequestSender sender;
--- a/benchmarks/src/test/java/org/baobabknot/experiment/FaultTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/experiment/FaultTests.java
@@ -54,8 +54,8 @@
 		assertThat("requests go on during " + kind, run.requests().size(), greaterThan(before));
 	}
 
-	// Guards against orders that run twice or are lost when the entry that took them
-	// dies.
+	// Guards against orders that run twice or are lost when the entry that
+	// took them dies.
 	@Test
 	void entryKilled() throws Exception {
 		strike(FaultKind.ENTRY_KILL);
@@ -103,8 +103,8 @@
 		strike(FaultKind.STORE_OUTAGE);
 	}
 
-	// Guards against claims and rules that are taken for refused when their answer is
-	// lost.
+	// Guards against claims and rules that are taken for refused when their
+	// answer is lost.
 	@Test
 	void storeAnswersLost() throws Exception {
 		strike(FaultKind.STORE_ANSWER_LOST);
--- a/benchmarks/src/test/java/org/baobabknot/experiment/GuaranteeCheckTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/experiment/GuaranteeCheckTests.java
@@ -84,8 +84,8 @@
 			assertThat(found(Guarantee.COLD), equalTo(1));
 		}
 
-		// Guards against a check that misses late work or blames a domain that was cut
-		// off.
+		// Guards against a check that misses late work or blames a domain
+		// that was cut off.
 		@Test
 		void noWorkAfterADomainIsOut() {
 			run(14_900, "d1", 1, false);
@@ -129,8 +129,8 @@
 	@Nested
 	class Callers {
 
-		// Guards against a check that misses a connection closed by an entry that shuts
-		// down.
+		// Guards against a check that misses a connection closed by an entry
+		// that shuts down.
 		@Test
 		void shutdownAbortsNothing() {
 			GuaranteeCheckTests.this.history.shutdown(new FaultHistory.Shutdown("entry-1", 1_000, 5_000, 0));
@@ -187,8 +187,8 @@
 			assertThat(found(Guarantee.CONFIGURATION), equalTo(1));
 		}
 
-		// Guards against a check that misses a process that goes back to an older
-		// revision.
+		// Guards against a check that misses a process that goes back to an
+		// older revision.
 		@Test
 		void revisionsNeverRevert() {
 			check(seen(11_000, 6), seen(11_500, 5));
--- a/cli/src/main/java/org/baobabknot/command/ApplyCommand.java
+++ b/cli/src/main/java/org/baobabknot/command/ApplyCommand.java
@@ -61,8 +61,8 @@
 		RulesDifference difference = RulesDifference.between(inForce, ((RulesResult.Accepted) result).rules());
 		StoredRules next = current.rules()
 			.next(UUID.randomUUID().toString(), tool.settings().who(), Instant.now(), text, difference.lines());
-		// The timeout of a call bounds an attempt, so the time to settle bounds their
-		// number.
+		// The timeout of a call bounds an attempt, so the time to settle
+		// bounds their number.
 		int attempts = Math.max(1, (Integer) options.valueOf("settle-seconds") * 1000 / tool.settings().timeoutMillis())
 				+ 1;
 		return report(store.write(next, current.version(), attempts), options, tool);
--- a/cli/src/main/java/org/baobabknot/command/FleetClient.java
+++ b/cli/src/main/java/org/baobabknot/command/FleetClient.java
@@ -206,8 +206,7 @@
 	}
 
 	// A connection that failed is opened anew, because a busy process may miss a
-	// handshake
-	// and be reachable a moment later.
+	// handshake and be reachable a moment later.
 	private static boolean usable(@Nullable CompletableFuture<ConnectResult> open) {
 		if (open == null || !open.isDone()) {
 			return open != null;
--- a/cli/src/test/java/org/baobabknot/command/RulesStoreTests.java
+++ b/cli/src/test/java/org/baobabknot/command/RulesStoreTests.java
@@ -51,8 +51,7 @@
 		}
 
 		// Guards against an accepted change reported as refused because another
-		// operator's
-		// change followed before the value was read back.
+		// operator's change followed before the value was read back.
 		@Test
 		void findsAnAcceptedChangeInTheHistoryOfALaterOne() throws CommandFailure {
 			RulesStoreTests.this.store.faults.add(Fault.LOSE_ANSWER);
--- a/core/src/main/java/org/baobabknot/distribution/ChunkOrder.java
+++ b/core/src/main/java/org/baobabknot/distribution/ChunkOrder.java
@@ -108,8 +108,7 @@
 	}
 
 	// Returns the gateway of another domain of the own region that brings a chunk into
-	// the
-	// region, so that it crosses the link between regions once.
+	// the region, so that it crosses the link between regions once.
 	Optional<Peer> regionalSource(int index) {
 		if (this.gatewaysOfRegion.size() < 2 || fetchers(index).get(0).region().equals(this.self.region())) {
 			return Optional.empty();
@@ -127,8 +126,7 @@
 	}
 
 	// Returns the agents of the own domain with which this one exchanges bitmaps: the
-	// next
-	// one in order of name, which keeps the graph connected, and others by hash.
+	// next one in order of name, which keeps the graph connected, and others by hash.
 	List<String> neighbours(int limit) {
 		List<String> names = new ArrayList<>(this.gateways.stream().map(Peer::instance).sorted().toList());
 		int place = names.indexOf(this.self.instance());
--- a/core/src/main/java/org/baobabknot/distribution/DistributionPlanner.java
+++ b/core/src/main/java/org/baobabknot/distribution/DistributionPlanner.java
@@ -29,7 +29,7 @@
 	 * Stalls after which a fetcher that answers without ever holding the chunk is passed
 	 * over; it may be cut off from the origin.
 	 */
-	private static final int PATIENCE = 4;
+	private static final int STALLS_BEFORE_BYPASS = 4;
 
 	private final Manifest manifest;
 
@@ -257,8 +257,7 @@
 			return (first.isPresent() || !this.health.hasFailed(index, ORIGIN)) ? first : inward(index, nowNanos);
 		}
 		// A due take-over comes first: asking agents that lack the chunk as well would
-		// put
-		// it off for ever.
+		// put it off for ever.
 		Optional<FetchCommand> takeOver = takeOver(index, nowNanos);
 		return takeOver.isPresent() ? takeOver : inward(index, nowNanos);
 	}
@@ -313,7 +312,8 @@
 			boolean room = running(Kind.INWARD) < this.settings.inwardTransfers();
 			return room ? Optional.of(ask(index, first)) : Optional.empty();
 		}
-		return (gone || stalled(turn + PATIENCE, nowNanos)) ? fromOrigin(index, nowNanos) : Optional.empty();
+		return (gone || stalled(turn + STALLS_BEFORE_BYPASS, nowNanos)) ? fromOrigin(index, nowNanos)
+				: Optional.empty();
 	}
 
 	private boolean stalled(int turns, long nowNanos) {
--- a/core/src/main/java/org/baobabknot/distribution/OriginBudget.java
+++ b/core/src/main/java/org/baobabknot/distribution/OriginBudget.java
@@ -32,8 +32,8 @@
 	OriginBudget(DistributionSettings settings, int chunks, int agents, double rounding, long nowNanos) {
 		this.phase = rounding;
 		double share = (double) chunks / agents;
-		// Shares below one chunk are rounded at random, so that their sum over the fleet
-		// stays right.
+		// Shares below one chunk are rounded at random, so that their sum over the
+		// fleet stays right.
 		this.start = Math.floor(settings.extraCopies() * share + rounding);
 		this.most = Math.floor(settings.mostExtraCopies() * share + rounding);
 		this.timeoutNanos = settings.stallNanos();
--- a/core/src/main/java/org/baobabknot/record/ClaimBook.java
+++ b/core/src/main/java/org/baobabknot/record/ClaimBook.java
@@ -242,10 +242,9 @@
 				ClaimText.write(bucket.draft.values())));
 	}
 
-	// An own claim that is found here belongs to an earlier request with the key that was
-	// refused before it was handed over; otherwise the request record would have known
-	// the
-	// key.
+	// An own claim that is found here belongs to an earlier request with the key that
+	// was refused before it was handed over; otherwise the request record would have
+	// known the key.
 	private void place(ClaimBucket bucket, PendingClaim candidate, ClaimTime time, List<ClaimCommand> commands) {
 		Claim found = bucket.draft.get(candidate.key);
 		boolean free = found == null || found.equals(candidate.replaceable)
--- a/core/src/test/java/org/baobabknot/admission/ColdLimitScheduleTests.java
+++ b/core/src/test/java/org/baobabknot/admission/ColdLimitScheduleTests.java
@@ -45,8 +45,8 @@
 		assertThat(restarts, greaterThan(SCHEDULES));
 	}
 
-	// Guards against schedules that cannot detect a violation: without the cold limit
-	// they must.
+	// Guards against schedules that cannot detect a violation: without the
+	// cold limit they must.
 	@Test
 	void schedulesDetectALimiterWithoutColdLimit() {
 		int violations = 0;
@@ -101,8 +101,8 @@
 			return this.loop.now() < this.warmAt;
 		}
 
-		// A report is taken at the target and arrives up to 150 ms later; one in five is
-		// lost.
+		// A report is taken at the target and arrives up to 150 ms later; one
+		// in five is lost.
 		private void poll() {
 			long asked = nanos();
 			this.loop.after(0, 20, () -> {
--- a/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
+++ b/core/src/test/java/org/baobabknot/admission/TargetLimiterTests.java
@@ -65,8 +65,8 @@
 			assertThat(TargetLimiterTests.this.limiter.limit(), is(2));
 		}
 
-		// Guards against a late report of the old process that opens the new one to full
-		// load.
+		// Guards against a late report of the old process that opens the new
+		// one to full load.
 		@Test
 		void startsNothingAfterALateReportOfAnEarlierIncarnation() {
 			warmUp();
--- a/core/src/test/java/org/baobabknot/distribution/DistributionScheduleTests.java
+++ b/core/src/test/java/org/baobabknot/distribution/DistributionScheduleTests.java
@@ -61,8 +61,8 @@
 		int[] sizes = { 10, 100, 200 };
 		for (int at = 0; at < sizes.length; at++) {
 			SwarmSimulation planned = new SwarmSimulation(SwarmSimulation.Scenario.plain(sizes[at], chunks, false), 1);
-			// The time of the baseline in copy times does not depend on the size of
-			// chunks.
+			// The time of the baseline in copy times does not depend on the
+			// size of chunks.
 			SwarmSimulation pulled = new SwarmSimulation(SwarmSimulation.Scenario.plain(sizes[at], 4, true), 1);
 			int plannedSteps = planned.run(FaultySwarm.LIMIT);
 			int pulledSteps = pulled.run(100 * FaultySwarm.LIMIT);
--- a/core/src/test/java/org/baobabknot/distribution/SwarmSimulation.java
+++ b/core/src/test/java/org/baobabknot/distribution/SwarmSimulation.java
@@ -407,8 +407,8 @@
 			if (SwarmSimulation.this.random.nextDouble() < SwarmSimulation.this.scenario.corrupt()) {
 				bytes[SwarmSimulation.this.random.nextInt(CHUNK_BYTES)] ^= 1;
 			}
-			// A transfer for an earlier version is stored like any other: the manifest
-			// decides.
+			// A transfer for an earlier version is stored like any other: the
+			// manifest decides.
 			if (this.chunks.put(transfer.index, bytes) instanceof StoreResult.Corrupt) {
 				failed(transfer, FetchFailure.CORRUPT);
 			}
--- a/core/src/test/java/org/baobabknot/hashing/RendezvousHashTests.java
+++ b/core/src/test/java/org/baobabknot/hashing/RendezvousHashTests.java
@@ -24,8 +24,8 @@
 	@Nested
 	class Ranking {
 
-		// Guards against processes with the same members in another order ranking
-		// differently.
+		// Guards against processes with the same members in another order
+		// ranking differently.
 		@Test
 		void doesNotDependOnTheOrderOfTheNodes() {
 			List<String> shuffled = new ArrayList<>(NODES);
--- a/core/src/test/java/org/baobabknot/rollout/RolloutSimulation.java
+++ b/core/src/test/java/org/baobabknot/rollout/RolloutSimulation.java
@@ -140,8 +140,8 @@
 			return VERSIONS.get(this.revision);
 		}
 
-		// Adopts a later revision; an agent that loads finishes or abandons its load
-		// first.
+		// Adopts a later revision; an agent that loads finishes or abandons
+		// its load first.
 		private void follow() {
 			RolloutKey before = view().own().key();
 			RolloutKey key = view().keyFor(wanted(), this.revision + 1);
@@ -221,8 +221,7 @@
 				view().announce(own.key(), RolloutPhase.READY, own.late());
 			}
 			// The own name stays on the list that an agent sees: an agent learns late
-			// that it
-			// was removed.
+			// that it was removed.
 			Set<String> seen = new TreeSet<>(RolloutSimulation.this.listed);
 			seen.add(this.name);
 			SwitchDecision decision = this.rank.decide(view(), seen, RolloutSimulation.this.out, time);
--- a/core/src/test/java/org/baobabknot/rollout/SwitchRankTests.java
+++ b/core/src/test/java/org/baobabknot/rollout/SwitchRankTests.java
@@ -50,8 +50,8 @@
 		assertThat(view.delta("b", first.stamp()).entries(), hasSize(1));
 	}
 
-	// Guards against a restarted agent that switches before the others know that it is
-	// back.
+	// Guards against a restarted agent that switches before the others know
+	// that it is back.
 	@Test
 	void waitsUntilPeersKnowThisProcess() {
 		RolloutView view = new RolloutView("a", 2);
--- a/core/src/test/java/org/baobabknot/rules/RulesReaderTests.java
+++ b/core/src/test/java/org/baobabknot/rules/RulesReaderTests.java
@@ -68,8 +68,8 @@
 			assertThat(rules.priorityCeiling("canteens"), is(Priority.NORMAL));
 		}
 
-		// Guards against an order that is sent twice because its path is written
-		// differently.
+		// Guards against an order that is sent twice because its path is
+		// written differently.
 		@Test
 		void matchOrdersInAnyForm() {
 			RuleSet rules = accepted(VALID);
--- a/daemon/src/main/java/org/baobabknot/agent/AgentRequest.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRequest.java
@@ -298,8 +298,8 @@
 		cancel(failure.toString());
 	}
 
-	// A request that was not handed over ends without an answer, because nobody waits for
-	// it.
+	// A request that was not handed over ends without an answer, because
+	// nobody waits for it.
 	private void cancel(String reason) {
 		if (this.phase == Phase.DONE) {
 			return;
--- a/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
+++ b/daemon/src/main/java/org/baobabknot/agent/weights/AgentWeights.java
@@ -353,8 +353,7 @@
 	}
 
 	// While the target is out for an earlier rollout its entry stays, because others
-	// count
-	// on it; the new one is announced when the target is back.
+	// count on it; the new one is announced when the target is back.
 	private void announce(Rule.Model rule, @Nullable Download current) {
 		if (this.change.busy()) {
 			return;
--- a/daemon/src/main/java/org/baobabknot/daemon/Daemon.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Daemon.java
@@ -245,8 +245,7 @@
 	}
 
 	// The start time makes a later process of the instance differ, and the random part
-	// one
-	// that starts after the clock was set back.
+	// one that starts after the clock was set back.
 	private static long incarnation() {
 		return (System.currentTimeMillis() << 16) | ThreadLocalRandom.current().nextInt(1 << 16);
 	}
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -176,8 +176,8 @@
 	}
 
 	private void begin() {
-		// A claimed request is sent with the digest of its body, so the body is read
-		// first.
+		// A claimed request is sent with the digest of its body, so the body
+		// is read first.
 		if (this.request.claimed() && !this.body.ended()) {
 			if (this.body.length() > RequestBody.KEPT_BYTES) {
 				refuse(Problem.notRun(RefusalReason.OVERSIZED,
--- a/daemon/src/main/java/org/baobabknot/entry/Outcomes.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Outcomes.java
@@ -11,8 +11,8 @@
  */
 final class Outcomes {
 
-	// A second agent may have room; more attempts under overload only add load and delay
-	// the refusal.
+	// A second agent may have room; more attempts under overload only add load and
+	// delay the refusal.
 	private static final int ATTEMPTS_AT_FULL_QUEUES = 2;
 
 	private Outcomes() {
--- a/daemon/src/main/java/org/baobabknot/entry/RequestBody.java
+++ b/daemon/src/main/java/org/baobabknot/entry/RequestBody.java
@@ -15,8 +15,8 @@
  */
 final class RequestBody {
 
-	// Equal to the initial credit of a stream: an agent that refuses has not granted
-	// more.
+	// Equal to the initial credit of a stream: an agent that refuses has not
+	// granted more.
 	static final int KEPT_BYTES = 256 << 10;
 
 	private final List<ByteString> kept = new ArrayList<>();
--- a/daemon/src/main/java/org/baobabknot/settings/Settings.java
+++ b/daemon/src/main/java/org/baobabknot/settings/Settings.java
@@ -79,8 +79,8 @@
 	 * @param service its service
 	 * @param url its address
 	 * @param kind engine or plain service
-	 * @param coldLimit requests it bears at once while cold
-	 * @param capacity requests it bears at once when warm
+	 * @param coldLimit requests it can run at once while cold
+	 * @param capacity requests it can run at once when warm
 	 */
 	public record Target(String service, URI url, TargetKind kind, int coldLimit, int capacity) {
 	}
--- a/daemon/src/test/java/org/baobabknot/agent/AgentTests.java
+++ b/daemon/src/test/java/org/baobabknot/agent/AgentTests.java
@@ -86,8 +86,8 @@
 	@Nested
 	class Refusals {
 
-		// Guards against requests that run although their entry was told that they did
-		// not.
+		// Guards against requests that run although their entry was told that
+		// they did not.
 		@Test
 		void neverReachTheTarget() throws Exception {
 			Caller caller = AgentTests.this.fixture.caller(agent(20, 2, 10));
--- a/daemon/src/test/java/org/baobabknot/daemon/DaemonProcessTests.java
+++ b/daemon/src/test/java/org/baobabknot/daemon/DaemonProcessTests.java
@@ -40,8 +40,8 @@
 	@Nested
 	class Shutdown {
 
-		// Guards against an agent that cuts open answers, or runs new work, after
-		// SIGTERM.
+		// Guards against an agent that cuts open answers, or runs new work,
+		// after SIGTERM.
 		@Test
 		void agentFinishesOpenStreamsAndRefusesNewWorkAsNotRun() throws Exception {
 			try (ProcessFixture fixture = new ProcessFixture(DaemonProcessTests.this.directory)) {
@@ -59,8 +59,7 @@
 		}
 
 		// Guards against an entry that cuts open answers, or refuses the requests that
-		// the
-		// balancer still sends during its lag.
+		// the balancer still sends during its lag.
 		@Test
 		void entryServesDuringTheLagAndFinishesOpenStreams() throws Exception {
 			try (ProcessFixture fixture = new ProcessFixture(DaemonProcessTests.this.directory)) {
--- a/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryForwardingTests.java
@@ -70,8 +70,8 @@
 			}
 		}
 
-		// Guards against answers given to the wrong request when streams end out of
-		// order.
+		// Guards against answers given to the wrong request when streams end
+		// out of order.
 		@Test
 		void answersOutOfOrderReachTheirOwnCallers() throws Exception {
 			try (EntryFixture fixture = new EntryFixture(1);
--- a/daemon/src/test/java/org/baobabknot/entry/SilentConnectionTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/SilentConnectionTests.java
@@ -53,8 +53,8 @@
 		this.server.fault(JsonNodeFactory.instance.objectNode().put("kind", "silent"));
 	}
 
-	// Guards against an order that is lost, or run twice, when its connection goes
-	// silent.
+	// Guards against an order that is lost, or run twice, when its connection
+	// goes silent.
 	@Test
 	void orderOnASilentConnectionIsResolvedOverANewOne() throws Exception {
 		AtomicInteger starts = new AtomicInteger();
@@ -74,8 +74,8 @@
 		}
 	}
 
-	// Guards against a late answer on the old connection that is given to another
-	// request.
+	// Guards against a late answer on the old connection that is given to
+	// another request.
 	@Test
 	void lateAnswerOnTheOldConnectionIsDropped() throws Exception {
 		Stream[] old = new Stream[1];
--- a/protocol/src/test/java/org/baobabknot/protocol/ConnectionTests.java
+++ b/protocol/src/test/java/org/baobabknot/protocol/ConnectionTests.java
@@ -253,8 +253,8 @@
 						lost.add(failure);
 					}
 				});
-				// A single jump of more than 1 s would be taken for a pause of this
-				// process.
+				// A single jump of more than 1 s would be taken for a pause
+				// of this process.
 				Failure failure = null;
 				for (int i = 0; i < 100 && failure == null; i++) {
 					ConnectionTests.this.ticker.advance(300, TimeUnit.MILLISECONDS);
--- a/protocol/src/test/java/org/baobabknot/protocol/LoadExchangeTests.java
+++ b/protocol/src/test/java/org/baobabknot/protocol/LoadExchangeTests.java
@@ -24,8 +24,8 @@
 		}
 	}
 
-	// Guards against pongs that exceed the control traffic of an entry with 130
-	// connections.
+	// Guards against pongs that exceed the control traffic of an entry with
+	// 130 connections.
 	@Test
 	void leavesOutARepeatedIdentity() {
 		this.agent.forPong(load("v1", 1));
--- a/protocol/src/test/java/org/baobabknot/protocol/PingMonitorTests.java
+++ b/protocol/src/test/java/org/baobabknot/protocol/PingMonitorTests.java
@@ -32,8 +32,7 @@
 	class Silence {
 
 		// Guards against a connection that went silent being kept: design bound 1.5 s
-		// after
-		// the first unanswered ping.
+		// after the first unanswered ping.
 		@Test
 		void losesTheConnectionWithoutAPong() {
 			assertThat(PingMonitorTests.this.monitor.check(true, millis(500)), is(PingMonitor.Action.PING));
--- a/standins/src/test/java/org/baobabknot/standin/EngineStandinTests.java
+++ b/standins/src/test/java/org/baobabknot/standin/EngineStandinTests.java
@@ -111,8 +111,8 @@
 	@Nested
 	class Loading {
 
-		// Guards against weights that differ from what was sent, and a wrong report of
-		// them.
+		// Guards against weights that differ from what was sent, and a wrong
+		// report of them.
 		@Test
 		void reportsTheDigestOfTheBytesThatArrived() throws Exception {
 			start(EngineSettings.of("translation", "a"));
