--- a/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Fleet.java
@@ -121,7 +121,7 @@
 		ProcessLauncher launcher = this.context.launcher();
 		launcher.writeText("token", TOKEN);
 		List<Deployment.Instance> instances = this.plan.deployment().instances();
-		launcher.writeJson("baobabknotctl.json", toolSettings());
+		launcher.writeJson("baobabknotctl.json", this.plan.toolSettings(launcher.folder()));
 		if (this.options.tls()) {
 			List<String> arguments = new ArrayList<>(List.of("keys", launcher.folder().resolve("keys").toString()));
 			instances.forEach((instance) -> arguments.add(instance.name()));
@@ -140,25 +140,6 @@
 		}
 	}
 
-	private ObjectNode toolSettings() {
-		ObjectNode node = JsonNodeFactory.instance.objectNode();
-		node.put("store", url(FleetPlan.STORE)).put("origin", url(FleetPlan.ORIGIN)).put("who", "quickstart");
-		node.put("tokenFile", this.context.launcher().folder().resolve("token").toString());
-		for (Deployment.Instance instance : this.plan.deployment().instances()) {
-			if (instance.entry()) {
-				node.withArray("processes").add("127.0.0.1:" + this.plan.ports(instance.name()).process());
-			}
-		}
-		if (this.options.tls()) {
-			Path keys = this.context.launcher().folder().resolve("keys");
-			node.putObject("tls")
-				.put("certificate", keys.resolve("operator.pem").toString())
-				.put("key", keys.resolve("operator.key").toString())
-				.put("authorities", keys.resolve("authorities.pem").toString());
-		}
-		return node;
-	}
-
 	private Map<String, String> platform(Deployment.Domain domain) throws IOException, InterruptedException {
 		Deployment.Domain home = this.plan.deployment().domains().get(0);
 		Map<String, String> urls = new TreeMap<>();
--- a/benchmarks/src/main/java/org/baobabknot/experiment/FleetPlan.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FleetPlan.java
@@ -1,5 +1,6 @@
 package org.baobabknot.experiment;
 
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -154,6 +155,30 @@
 		return root;
 	}
 
+	/**
+	 * Returns the settings of the operator tool.
+	 * @param folder folder with the token and the keys
+	 * @return settings for {@code baobabknotctl}
+	 */
+	ObjectNode toolSettings(Path folder) {
+		ObjectNode node = JsonNodeFactory.instance.objectNode();
+		node.put("store", standinUrl(STORE)).put("origin", standinUrl(ORIGIN)).put("who", "quickstart");
+		node.put("tokenFile", folder.resolve("token").toString());
+		for (Deployment.Instance instance : this.deployment.instances()) {
+			if (instance.entry()) {
+				node.withArray("processes").add("127.0.0.1:" + ports(instance.name()).process());
+			}
+		}
+		if (this.options.tls()) {
+			Path keys = folder.resolve("keys");
+			node.putObject("tls")
+				.put("certificate", keys.resolve("operator.pem").toString())
+				.put("key", keys.resolve("operator.key").toString())
+				.put("authorities", keys.resolve("authorities.pem").toString());
+		}
+		return node;
+	}
+
 	private static ObjectNode target(Deployment.Service service, Ports own) {
 		return JsonNodeFactory.instance.objectNode()
 			.put("service", service.name())
--- a/protocol/src/main/java/org/baobabknot/protocol/Connection.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Connection.java
@@ -61,8 +61,6 @@
 
 	private volatile @Nullable Hello peer;
 
-	private volatile @Nullable Load load;
-
 	private final LoadExchange loads = new LoadExchange();
 
 	private volatile int openStreams;
@@ -113,7 +111,7 @@
 	 * @return load, {@code null} before the first or if the peer is no agent
 	 */
 	public @Nullable Load load() {
-		return this.load;
+		return this.loads.latest();
 	}
 
 	/**
@@ -257,7 +255,7 @@
 			receiveOnConnection(frame);
 			return;
 		}
-		noteLoad(frame);
+		this.loads.note(frame);
 		Stream stream = this.streams.get(frame.getStream());
 		if (stream == null) {
 			receiveUnknown(frame);
@@ -338,7 +336,6 @@
 			Load reported = null;
 			if (frame.getPong().hasLoad()) {
 				reported = this.loads.received(frame.getPong().getLoad());
-				this.load = reported;
 			}
 			this.listener.pong(this, reported);
 			this.listener.knowledge(this, frame.getPong().getKnowledge());
@@ -401,15 +398,6 @@
 		this.listener.knowledge(this, ping.getKnowledge());
 	}
 
-	private void noteLoad(Frame frame) {
-		if (frame.hasResponseStart() && frame.getResponseStart().hasLoad()) {
-			this.load = frame.getResponseStart().getLoad();
-		}
-		else if (frame.hasRefused() && frame.getRefused().hasLoad()) {
-			this.load = frame.getRefused().getLoad();
-		}
-	}
-
 	private void check() {
 		PingMonitor monitor = this.pings;
 		if (monitor == null || this.closed.isDone()) {
--- a/protocol/src/main/java/org/baobabknot/protocol/LoadExchange.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/LoadExchange.java
@@ -1,13 +1,14 @@
 package org.baobabknot.protocol;
 
+import org.baobabknot.protocol.generated.Frame;
 import org.baobabknot.protocol.generated.Load;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Leaves service, version and digest out of a Pong that repeats them. They make up two
- * thirds of a Pong and change only with a switch of version; an entry has more than a
- * hundred connections and 15 KB/s for control. Not thread-safe: used on the event loop of
- * the connection, whose frames arrive in order.
+ * Loads exchanged on one connection. Leaves service, version and digest out of a Pong
+ * that repeats them. They make up two thirds of a Pong and change only with a switch of
+ * version; an entry has more than a hundred connections and 15 KB/s for control. Not
+ * thread-safe: used on the event loop of the connection, whose frames arrive in order.
  */
 final class LoadExchange {
 
@@ -15,6 +16,30 @@
 
 	private @Nullable Load received;
 
+	private volatile @Nullable Load latest;
+
+	/**
+	 * Returns the load in the last Pong, ResponseStart or Refused of the peer. May be
+	 * called on any thread.
+	 * @return the load, {@code null} before the first
+	 */
+	@Nullable Load latest() {
+		return this.latest;
+	}
+
+	/**
+	 * Takes note of a load in a frame of a request.
+	 * @param frame a frame that is not a Pong
+	 */
+	void note(Frame frame) {
+		if (frame.hasResponseStart() && frame.getResponseStart().hasLoad()) {
+			this.latest = frame.getResponseStart().getLoad();
+		}
+		else if (frame.hasRefused() && frame.getRefused().hasLoad()) {
+			this.latest = frame.getRefused().getLoad();
+		}
+	}
+
 	/**
 	 * Returns the load as sent to the peer.
 	 * @param own load on the target of this process
@@ -46,6 +71,7 @@
 				.build();
 		}
 		this.received = whole;
+		this.latest = whole;
 		return whole;
 	}
 
