--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -38,7 +38,9 @@
 import org.baobabknot.httpclient.HttpCall;
 import org.baobabknot.httpclient.HttpExchange;
 import org.baobabknot.observe.DecisionLog;
+import org.baobabknot.observe.LoopDelay;
 import org.baobabknot.observe.OperatorPort;
+import org.baobabknot.observe.StoreCalls;
 import org.baobabknot.placement.ArrivalRate;
 import org.baobabknot.placement.Candidate;
 import org.baobabknot.placement.ColdSenders;
@@ -132,6 +134,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final LoopDelay delay;
+
 	private final OperatorPort operator;
 
 	private final Set<GatewayConnection> connections = new HashSet<>();
@@ -161,7 +165,9 @@
 		this.loop = group.next();
 		this.log = log;
 		this.view = new FleetView(settings.domains());
-		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port());
+		PrometheusRegistry registry = new PrometheusRegistry();
+		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port(),
+				new StoreCalls(registry, log));
 		FleetSettings.Bounds bounds = settings.bounds();
 		this.feed = FleetFeed.gateway(this.store, this.view, this.loop, (long) (bounds.keyMs() * CONFIRM_SHARE),
 				bounds.versionMs(), this::changed);
@@ -169,7 +175,7 @@
 				new EntryRecord(settings.instance(), settings.host(), settings.peerPort()));
 		this.targets = new TargetPool(this.loop, this.view);
 		this.placement = new Placement(PlacementSettings.standard(), this.random);
-		PrometheusRegistry registry = new PrometheusRegistry();
+		this.delay = new LoopDelay(SWEEP_MS, registry, log);
 		this.metrics = new GatewayMetrics(registry, log::dropped);
 		this.operator = new OperatorPort(this.loop, registry, () -> this.ready);
 	}
@@ -468,6 +474,7 @@
 	private void sweep() {
 		long now = System.nanoTime();
 		long wall = System.currentTimeMillis();
+		this.delay.ran(now);
 		if (this.view.freshness().jumped(now, wall)) {
 			this.feed.confirmNow();
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -471,7 +471,8 @@
 		Admission.Admitted admitted = this.terms;
 		this.gateway.finished(this, outcome, tookMs);
 		this.log.ended(new RequestLog.End(outcome, detail, (admitted != null) ? admitted.route().name() : "",
-				this.sends + this.freeSends, (got != null) ? got.events() : 0, tookMs), at);
+				this.sends + this.freeSends, (got != null) ? got.events() : 0, tookMs,
+				(admitted != null) ? admitted.urgency() : -1), this.head, at);
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -2,6 +2,7 @@
 
 import org.baobabknot.fleet.FleetConfiguration;
 import org.baobabknot.observe.DecisionLog;
+import org.baobabknot.provider.CallerHead;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,7 +36,7 @@
 			.write();
 	}
 
-	void ended(End end, @Nullable TargetAttempt at) {
+	void ended(End end, CallerHead head, @Nullable TargetAttempt at) {
 		this.gateway.log()
 			.line((end.served()) ? DecisionLog.Importance.SUCCESS : DecisionLog.Importance.FAILURE, "request-ended")
 			.with("request", this.requestId)
@@ -47,6 +48,9 @@
 			.with("sends", end.sends())
 			.with("events", end.events())
 			.with("tookMs", end.tookMs())
+			.with("urgency", end.urgency())
+			.with("promptTokens", head.promptTokens())
+			.with("answerTokens", Math.round(head.plannedAnswerTokens()))
 			.with("configuration", this.gateway.view().configuration().map(FleetConfiguration::version).orElse(0L))
 			.with("ageMs", this.gateway.ageMs())
 			.write();
@@ -61,8 +65,9 @@
 	 * @param sends targets to which it was sent
 	 * @param events events that the caller got
 	 * @param tookMs time from its last byte, in ms
+	 * @param urgency its rank, 0 first, -1 if it was refused before it had one
 	 */
-	record End(String outcome, String detail, String route, int sends, int events, long tookMs) {
+	record End(String outcome, String detail, String route, int sends, int events, long tookMs, int urgency) {
 
 		boolean served() {
 			return this.outcome.equals("whole") || this.outcome.equals("caller-gone");
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -24,6 +24,7 @@
 import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.observe.OperatorPort;
+import org.baobabknot.observe.StoreCalls;
 import org.baobabknot.provider.EngineClient;
 import org.baobabknot.provider.FleetFeed;
 import org.baobabknot.provider.StoreClient;
@@ -106,7 +107,9 @@
 		this.loop = group.next();
 		this.log = log;
 		this.view = new FleetView(settings.domains());
-		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port());
+		PrometheusRegistry registry = new PrometheusRegistry();
+		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port(),
+				new StoreCalls(registry, log));
 		this.feed = FleetFeed.loader(this.store, this.view, this.loop, settings.bounds().versionMs(), this::changed);
 		FleetSettings.HostPort address = settings.engine().orElseThrow().address();
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
@@ -115,7 +118,6 @@
 		this.sender = new LoadSender(address.host() + ":" + address.port());
 		this.manifests = new Manifests(this.loop);
 		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.manifests::origin);
-		PrometheusRegistry registry = new PrometheusRegistry();
 		this.orders = Counter.builder()
 			.name("baobabknot_load_orders")
 			.help("orders to load weights by the status of their answers")
