--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gateway/ConfigurationOverSharedLinkTests.java
@@ -0,0 +1,56 @@
+package org.baobabknot.gateway;
+
+import org.baobabknot.emulator.EmulatedConfiguration;
+import org.baobabknot.settings.FleetSettings;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.lessThan;
+
+/**
+ * Guards against many gateways of a region filling the link to the store with copies of a
+ * large configuration.
+ */
+class ConfigurationOverSharedLinkTests {
+
+	/** 16.8 Mbit/s, the link between two regions of the largest deployment. */
+	private static final long LINK_BYTES_PER_SECOND = 2_100_000;
+
+	private static final int GATEWAYS = 20;
+
+	private static final int ROUTES = 1_400;
+
+	private static final long BOUND_MS = 3_000;
+
+	private static final FleetSettings.Bounds BOUNDS = new FleetSettings.Bounds(BOUND_MS, 5_000, 10_000, 8_000, 0.2,
+			10_000, 357, 1.5, 5);
+
+	private static EmulatedConfiguration configuration(long version) {
+		return new EmulatedConfiguration(version).route("reads", "safe", "plain", 2_000)
+			.plain("plain")
+			.workspace("w", "key-1");
+	}
+
+	@Test
+	void aGrownConfigurationAndTheChangeAfterItAreInForceInTime() throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(LINK_BYTES_PER_SECOND, BOUNDS)) {
+			fleet.configure(configuration(1));
+			fleet.start(GATEWAYS);
+			fleet.awaitVersion(1);
+			fleet.configure(configuration(2).routes(ROUTES, "plain"));
+			assertThat("ms until the growth is in force", fleet.awaitVersion(2), lessThan(BOUND_MS));
+			fleet.configure(configuration(3).routes(ROUTES, "plain"));
+			assertThat("ms until the next change is in force", fleet.awaitVersion(3), lessThan(BOUND_MS));
+		}
+	}
+
+	@Test
+	void gatewaysThatStartTogetherGetAGrownConfigurationInTime() throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(LINK_BYTES_PER_SECOND, BOUNDS)) {
+			fleet.configure(configuration(2).routes(ROUTES, "plain"));
+			fleet.start(GATEWAYS);
+			assertThat("ms until all have a configuration", fleet.awaitVersion(2), lessThan(BOUND_MS));
+		}
+	}
+
+}
