Read the operators' values from the store by two gateways a region, relay them to the others

Cause: every gateway watched the configuration and read it once more half a second later. After a growth by 1,000 routes a copy has 340 kB on the wire; 20 gateways of a region x 2 copies fill the link of 16.8 Mbit/s for 6 s, connects and watches time out, and each retry asks for all of it again. Loaders read it whole too. Class of the fault: what all processes do alike at one moment against one store over one link.

Change: FollowOrder ranks the registered entries of a region; two read the store, the others follow in a tree with a fan-out of ten over a long poll (relay.ValueServer, ValueRelay) that carries compressed values, the store's revision and the age of the knowledge. A reader asks for the newest configuration through a transaction that changes nothing and sends the item only when it is newer. After an outage a process probes with a small read, then gives those it follows a chance, and never watches from an old revision. Loaders get the configuration from a gateway. Reads now and then are spread in time. A gateway that follows others is not ready when its own list of targets is old. A loader no longer takes its own silent engine for another holder of a version.

Ruled out: time-outs that cut transfers in progress (StoreClientTests); decoding (1 to 14 ms in a process that has run for a while).

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -32,6 +32,7 @@
 import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.fleet.FleetConfiguration;
 import org.baobabknot.fleet.FleetView;
+import org.baobabknot.fleet.FollowOrder;
 import org.baobabknot.fleet.Holding;
 import org.baobabknot.fleet.ServiceDefinition;
 import org.baobabknot.fleet.TargetRecord;
@@ -55,6 +56,8 @@
 import org.baobabknot.provider.RequestDialect;
 import org.baobabknot.provider.StoreClient;
 import org.baobabknot.provider.TargetCallHead;
+import org.baobabknot.relay.ValueRelay;
+import org.baobabknot.relay.ValueServer;
 import org.baobabknot.retry.FleetRetryBudget;
 import org.baobabknot.settings.FleetSettings;
 
@@ -70,8 +73,11 @@
 
 	private static final int SWEEPS_PER_CHECK = 10;
 
-	/** Part of the life of a revoked key after which it must be confirmed again. */
-	private static final double CONFIRM_SHARE = 0.5;
+	/**
+	 * Part of the life of a revoked key after which the store must confirm it again: the
+	 * confirmation passes through other gateways, of which one may fail on the way.
+	 */
+	private static final double CONFIRM_SHARE = 0.25;
 
 	/** Part of the life of a revoked key for which a confirmation counts. */
 	private static final double KEY_SHARE = 0.8;
@@ -120,6 +126,8 @@
 
 	private final FleetFeed feed;
 
+	private final ValueServer values;
+
 	private final EntryRegistration registration;
 
 	private final TargetPool targets;
@@ -169,10 +177,14 @@
 		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port(),
 				new StoreCalls(registry, log));
 		FleetSettings.Bounds bounds = settings.bounds();
-		this.feed = FleetFeed.gateway(this.store, this.view, this.loop, (long) (bounds.keyMs() * CONFIRM_SHARE),
+		EntryRecord self = new EntryRecord(settings.instance(), settings.region(), settings.host(),
+				settings.peerPort());
+		ValueRelay relay = new ValueRelay(this.loop, () -> FollowOrder.ofEntry(this.view.entries(), self));
+		this.feed = FleetFeed.gateway(this.store, relay, this.view, this.loop, (long) (bounds.keyMs() * CONFIRM_SHARE),
 				bounds.versionMs(), this::changed);
-		this.registration = new EntryRegistration(this.store, this.loop,
-				new EntryRecord(settings.instance(), settings.host(), settings.peerPort()));
+		this.values = new ValueServer(this.loop, this.feed::snapshot);
+		this.feed.onNews(this.values::news);
+		this.registration = new EntryRegistration(this.store, this.loop, self);
 		this.targets = new TargetPool(this.loop, this.view);
 		this.placement = new Placement(PlacementSettings.standard(), this.random);
 		this.delay = new LoopDelay(SWEEP_MS, registry, log);
@@ -213,9 +225,10 @@
 			.thenCompose((done) -> this.operator.bind(this.settings.host(), this.settings.metricsPort()))
 			.thenCompose((done) -> new LoadReceiver(this::observed).bind(this.loop, this.settings.host(),
 					this.settings.peerPort()))
+			.thenCompose((done) -> this.values.bind(this.settings.host(), this.settings.peerPort()))
 			.thenRun(() -> {
-				this.feed.start();
-				this.registration.start();
+				// Whom to follow depends on all entries, also on this one.
+				this.registration.start().thenRun(this.feed::start);
 				this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
 			});
 	}
@@ -272,6 +285,11 @@
 		return ageMs() < this.settings.bounds().keyMs() * KEY_SHARE;
 	}
 
+	// Followed processes may reach the store while this one doesn't.
+	private boolean targetsKnown() {
+		return this.feed.targetsAgeMs() < this.settings.bounds().keyMs() * KEY_SHARE;
+	}
+
 	/**
 	 * Tells whether the configuration that is known is surely the one in force.
 	 * @return whether what it lacks may be denied
@@ -479,7 +497,7 @@
 			this.feed.confirmNow();
 		}
 		List.copyOf(this.requests).forEach((request) -> request.check(now));
-		boolean known = this.view.configuration().isPresent() && keysKnown();
+		boolean known = this.view.configuration().isPresent() && keysKnown() && targetsKnown();
 		if (known != this.ready && !this.leaving) {
 			this.ready = known;
 			this.log.line(DecisionLog.Importance.STATE, "ready")
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -18,6 +18,7 @@
 import org.baobabknot.distribution.LoadTiming;
 import org.baobabknot.distribution.Peer;
 import org.baobabknot.fleet.FleetView;
+import org.baobabknot.fleet.FollowOrder;
 import org.baobabknot.fleet.Holding;
 import org.baobabknot.fleet.ModelLayout;
 import org.baobabknot.fleet.ServiceDefinition;
@@ -28,6 +29,7 @@
 import org.baobabknot.provider.EngineClient;
 import org.baobabknot.provider.FleetFeed;
 import org.baobabknot.provider.StoreClient;
+import org.baobabknot.relay.ValueRelay;
 import org.baobabknot.settings.FleetSettings;
 import org.baobabknot.weights.Digests;
 import org.baobabknot.weights.Manifest;
@@ -110,7 +112,10 @@
 		PrometheusRegistry registry = new PrometheusRegistry();
 		this.store = new StoreClient(this.loop, settings.store().host(), settings.store().port(),
 				new StoreCalls(registry, log));
-		this.feed = FleetFeed.loader(this.store, this.view, this.loop, settings.bounds().versionMs(), this::changed);
+		ValueRelay relay = new ValueRelay(this.loop,
+				() -> FollowOrder.ofOther(this.view.entries(), settings.region(), settings.instance()));
+		this.feed = FleetFeed.loader(this.store, relay, this.view, this.loop, settings.bounds().versionMs(),
+				this::changed);
 		FleetSettings.HostPort address = settings.engine().orElseThrow().address();
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
 		this.server = new ChunkServer(this.loop, settings.domain(), settings.resources().linkBytesPerSecond(),
@@ -163,14 +168,15 @@
 	}
 
 	// An engine that starts answers later than its loader, which fetches meanwhile from
-	// others. When none is listed the whole fleet starts, and its engines may hold the
-	// version.
+	// others. When no other one is listed the whole fleet starts, and its engines may
+	// hold the version.
 	private void prepare(ServiceDefinition service) {
 		this.resting = false;
 		for (String model : service.models()) {
 			long wanted = Math.max(1, this.view.wantedVersion(model));
 			if (!this.fetches.containsKey(model) && !this.complete.containsKey(model)
-					&& !holders(service, model, wanted).isEmpty()) {
+					&& holders(service, model, wanted).stream()
+						.anyMatch((peer) -> !peer.instance().equals(this.settings.host()))) {
 				begin(service, model, wanted, this.fetches);
 			}
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueMessages.java
@@ -0,0 +1,101 @@
+package org.baobabknot.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import com.google.protobuf.ByteString;
+import org.baobabknot.protocol.generated.Value;
+import org.baobabknot.protocol.generated.Values;
+import org.baobabknot.provider.Snapshot;
+import org.baobabknot.provider.StoreClient;
+
+/**
+ * Translates between snapshots and messages.
+ */
+final class ValueMessages {
+
+	/** Path at which a process is asked. */
+	static final String PATH = "/values";
+
+	/** Bytes of one message: several times the largest value that a store holds. */
+	static final int MAX_MESSAGE_BYTES = 4 << 20;
+
+	private static final int BUFFER_BYTES = 16 << 10;
+
+	private ValueMessages() {
+	}
+
+	static byte[] deflate(byte[] value) {
+		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+		try {
+			deflater.setInput(value);
+			deflater.finish();
+			ByteArrayOutputStream output = new ByteArrayOutputStream();
+			byte[] buffer = new byte[BUFFER_BYTES];
+			while (!deflater.finished()) {
+				output.write(buffer, 0, deflater.deflate(buffer));
+			}
+			return output.toByteArray();
+		}
+		finally {
+			deflater.end();
+		}
+	}
+
+	/**
+	 * Restores a value.
+	 * @param deflated the compressed bytes
+	 * @return the value
+	 * @throws IllegalArgumentException when the bytes are damaged, incomplete or too long
+	 */
+	static byte[] inflate(byte[] deflated) {
+		Inflater inflater = new Inflater();
+		try {
+			inflater.setInput(deflated);
+			ByteArrayOutputStream output = new ByteArrayOutputStream();
+			byte[] buffer = new byte[BUFFER_BYTES];
+			while (!inflater.finished()) {
+				int count = inflater.inflate(buffer);
+				if (count == 0 && !inflater.finished()) {
+					throw new IllegalArgumentException("value: compressed bytes are incomplete");
+				}
+				output.write(buffer, 0, count);
+				if (output.size() > MAX_MESSAGE_BYTES) {
+					throw new IllegalArgumentException("value: longer than " + MAX_MESSAGE_BYTES + " bytes");
+				}
+			}
+			return output.toByteArray();
+		}
+		catch (DataFormatException ex) {
+			throw new IllegalArgumentException("value: compressed bytes are damaged", ex);
+		}
+		finally {
+			inflater.end();
+		}
+	}
+
+	/**
+	 * Decodes an answer.
+	 * @param values the message
+	 * @return the snapshot
+	 * @throws IllegalArgumentException when a value is damaged
+	 */
+	static Snapshot snapshot(Values values) {
+		List<StoreClient.Item> changed = new ArrayList<>();
+		for (Value value : values.getChangedList()) {
+			changed.add(new StoreClient.Item(value.getKey(), inflate(value.getDeflated().toByteArray()),
+					value.getRevision()));
+		}
+		return new Snapshot(values.getRevision(), values.getPresentMap(), changed, values.getConnected(),
+				values.getAgeMs());
+	}
+
+	static Value value(StoreClient.Item item, ByteString deflated) {
+		return Value.newBuilder().setKey(item.key()).setRevision(item.revision()).setDeflated(deflated).build();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/relay/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Hands what operators have stored from process to process within a region.
+ */
+@NullMarked
+package org.baobabknot.relay;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/test/java/org/baobabknot/gateway/ConfigurationOverSharedLinkTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/ConfigurationOverSharedLinkTests.java
@@ -5,7 +5,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Guards against many gateways of a region filling the link to the store with copies of a
@@ -25,6 +27,14 @@
 	private static final FleetSettings.Bounds BOUNDS = new FleetSettings.Bounds(BOUND_MS, 5_000, 10_000, 8_000, 0.2,
 			10_000, 357, 1.5, 5);
 
+	/**
+	 * Copies of a configuration that may cross the link after a change: one for each of
+	 * the two readers, and one more where a later version follows.
+	 */
+	private static final int COPIES = 4;
+
+	private static final int COPY_BYTES = configuration(2).routes(ROUTES, "plain").toString().length() * 4 / 3;
+
 	private static EmulatedConfiguration configuration(long version) {
 		return new EmulatedConfiguration(version).route("reads", "safe", "plain", 2_000)
 			.plain("plain")
@@ -41,6 +51,49 @@
 			assertThat("ms until the growth is in force", fleet.awaitVersion(2), lessThan(BOUND_MS));
 			fleet.configure(configuration(3).routes(ROUTES, "plain"));
 			assertThat("ms until the next change is in force", fleet.awaitVersion(3), lessThan(BOUND_MS));
+			Thread.sleep(2_000);
+			assertThat("copies over the link", copies(fleet), is(lessThanOrEqualTo(2 * COPIES)));
+		}
+	}
+
+	private static int copies(GatewayFleet fleet) {
+		return (int) (fleet.store.linkBytes() / COPY_BYTES);
+	}
+
+	@Test
+	void noKeyIsTrustedForLongWhenTheStoreIsSilent() throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(LINK_BYTES_PER_SECOND, BOUNDS)) {
+			fleet.configure(configuration(1));
+			fleet.start(6);
+			fleet.awaitVersion(1);
+			Thread.sleep(2_000);
+			fleet.store.silent(true);
+			Thread.sleep(BOUNDS.keyMs() * 9 / 10);
+			assertThat(fleet.keysKnown(), is(0L));
+			fleet.store.silent(false);
+			fleet.store.reset();
+			Thread.sleep(BOUND_MS);
+			assertThat(fleet.keysKnown(), is(6L));
+		}
+	}
+
+	@Test
+	void gatewaysThatRegainTheStoreTogetherGetAGrownConfigurationInTime() throws Exception {
+		try (GatewayFleet fleet = new GatewayFleet(LINK_BYTES_PER_SECOND, BOUNDS)) {
+			fleet.configure(configuration(1));
+			fleet.start(GATEWAYS);
+			fleet.awaitVersion(1);
+			Thread.sleep(2_000);
+			fleet.store.silent(true);
+			Thread.sleep(6_000);
+			fleet.configure(configuration(2).routes(ROUTES, "plain"));
+			fleet.configure(configuration(3).routes(ROUTES, "plain"));
+			fleet.configure(configuration(4).routes(ROUTES, "plain"));
+			fleet.store.silent(false);
+			fleet.store.reset();
+			assertThat("ms until the newest configuration is in force", fleet.awaitVersion(4), lessThan(BOUND_MS));
+			Thread.sleep(2_000);
+			assertThat("copies over the link", copies(fleet), is(lessThanOrEqualTo(COPIES)));
 		}
 	}
 
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -78,6 +78,14 @@
 		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
 	}
 
+	/**
+	 * Counts the gateways that trust the keys that they know.
+	 * @return their number
+	 */
+	long keysKnown() {
+		return this.gateways.stream().filter(Gateway::keysKnown).count();
+	}
+
 	static long version(Gateway gateway) {
 		return gateway.view().configuration().map(FleetConfiguration::version).orElse(0L);
 	}
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -0,0 +1,159 @@
+package org.baobabknot.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.baobabknot.emulator.EmulatedServer;
+import org.baobabknot.emulator.TestPorts;
+import org.baobabknot.fleet.EntryRecord;
+import org.baobabknot.fleet.FollowOrder;
+import org.baobabknot.provider.Snapshot;
+import org.baobabknot.provider.StoreClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+/**
+ * Tests of how a process follows others, and of what it does when they fail.
+ */
+class ValueRelayTests {
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	private static Snapshot known(long revision, boolean connected) {
+		byte[] value = ("value " + revision).getBytes(StandardCharsets.UTF_8);
+		return new Snapshot(revision, Map.of("k", revision), List.of(new StoreClient.Item("k", value, revision)),
+				connected, 40);
+	}
+
+	private EntryRecord server(Snapshot snapshot) throws Exception {
+		int port = TestPorts.free();
+		new ValueServer(this.loop, (prefix, had) -> snapshot).bind("127.0.0.1", port).get(5, TimeUnit.SECONDS);
+		return new EntryRecord("e" + port, "a", "127.0.0.1", port);
+	}
+
+	private static EntryRecord nobody() {
+		return new EntryRecord("dead", "a", "127.0.0.1", TestPorts.free());
+	}
+
+	private ValueRelay following(EntryRecord... sources) {
+		return new ValueRelay(this.loop, () -> new FollowOrder(List.of(sources), 3));
+	}
+
+	private Optional<Snapshot> poll(ValueRelay relay) throws Exception {
+		return this.loop.submit(() -> relay.poll("", Map.of(), 100, Long.MAX_VALUE)).get().get(5, TimeUnit.SECONDS);
+	}
+
+	private long revision(ValueRelay relay) throws Exception {
+		return poll(relay).map(Snapshot::revision).orElse(0L);
+	}
+
+	private boolean readsStore(ValueRelay relay) throws Exception {
+		return this.loop.submit(relay::readsStore).get();
+	}
+
+	@Nested
+	class Sources {
+
+		@Test
+		void aSourceThatIsDownIsLeftForTheNext() throws Exception {
+			ValueRelay relay = following(nobody(), server(known(7, true)));
+			assertThat(revision(relay), is(0L));
+			assertThat(revision(relay), is(7L));
+			assertThat(readsStore(relay), is(false));
+		}
+
+		@Test
+		void aSourceWithoutTheStoreIsLeftForOneThatReachesIt() throws Exception {
+			ValueRelay relay = following(server(known(5, false)), server(known(7, true)));
+			assertThat(revision(relay), is(5L));
+			assertThat(revision(relay), is(7L));
+		}
+
+		@Test
+		void withoutAnySourceTheStoreIsReadSoonButNotByAllAtOnce() throws Exception {
+			ValueRelay relay = following(nobody(), nobody());
+			assertThat(readsStore(relay), is(false));
+			long began = System.nanoTime();
+			while (!readsStore(relay)) {
+				poll(relay);
+			}
+			long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+			assertThat(tookMs, is(greaterThanOrEqualTo(800L)));
+			assertThat(tookMs, is(lessThan(2_000L)));
+		}
+
+		@Test
+		void aSourceThatIsBackIsFollowedAgain() throws Exception {
+			EntryRecord late = nobody();
+			ValueRelay relay = following(late);
+			poll(relay);
+			new ValueServer(ValueRelayTests.this.loop, (prefix, had) -> known(9, true)).bind("127.0.0.1", late.port())
+				.get(5, TimeUnit.SECONDS);
+			long found = 0;
+			for (int attempt = 0; attempt < 40 && found == 0; attempt++) {
+				found = revision(relay);
+			}
+			assertThat(found, is(9L));
+		}
+
+	}
+
+	@Nested
+	class Answers {
+
+		@Test
+		void waitForNewsAndAreGivenWhenThereIsSome() throws Exception {
+			int port = TestPorts.free();
+			Snapshot[] now = { new Snapshot(4, Map.of("k", 4L), List.of(), true, 10) };
+			EventLoop serving = ValueRelayTests.this.loop;
+			ValueServer server = new ValueServer(serving, (prefix, had) -> now[0]);
+			server.bind("127.0.0.1", port).get(5, TimeUnit.SECONDS);
+			ValueRelay relay = following(new EntryRecord("e", "a", "127.0.0.1", port));
+			var waiting = serving.submit(() -> relay.poll("", Map.of("k", 4L), 3_000, 50)).get();
+			Thread.sleep(200);
+			assertThat(waiting.isDone(), is(false));
+			serving.submit(() -> {
+				now[0] = known(6, true);
+				server.news();
+			});
+			assertThat(waiting.get(2, TimeUnit.SECONDS).orElseThrow().revision(), is(6L));
+		}
+
+		@Test
+		void thatAreNotUsableCountAsFailures() throws Exception {
+			try (EmulatedServer broken = new EmulatedServer(ValueRelayTests.this.group, "127.0.0.1") {
+				@Override
+				protected void handle(Call call) {
+					call.answer(200, Map.of(), new byte[] { 1, 2, 3 });
+				}
+			}) {
+				int port = Integer.parseInt(broken.address().split(":")[1]);
+				ValueRelay relay = following(new EntryRecord("b", "a", "127.0.0.1", port), server(known(7, true)));
+				assertThat(revision(relay), is(0L));
+				assertThat(revision(relay), is(7L));
+			}
+		}
+
+	}
+
+}
