Count a suspension as age although an older confirmation arrives after it

What callers would see: a request with a revoked key admitted by a process that stood still for seconds.

Cause: a confirmation took the clocks of its arrival, so a suspension while it was on its way, or an older confirmation after a suspension, hid the time for which the machine stood still.

Change: a confirmation bears the clocks at which it was asked for, and an older one changes nothing. Test: FleetTests.anOlderConfirmationDoesNotHideASuspension failed before (200 ms instead of 6,200) and passes; GatewayTests pass.

Ruled out: a jump of the wall clock that stays: the next question is asked with the new clocks.

--- a/core/src/main/java/org/baobabknot/fleet/Freshness.java
+++ b/core/src/main/java/org/baobabknot/fleet/Freshness.java
@@ -19,17 +19,19 @@
 	private long offsetMs;
 
 	/**
-	 * Takes note that the knowledge was current at a moment.
+	 * Takes note that the knowledge was current at a moment. The clocks are those at
+	 * which the confirmation was asked for, because a suspension while it was on its way
+	 * has to count as age.
 	 * @param atNanos monotonic time of that moment
-	 * @param nowNanos monotonic time now
-	 * @param wallMs wall clock now, in ms since 1970
+	 * @param askedNanos monotonic time at which the confirmation was asked for
+	 * @param askedWallMs wall clock at the same time, in ms since 1970
 	 */
-	public void confirm(long atNanos, long nowNanos, long wallMs) {
+	public void confirm(long atNanos, long askedNanos, long askedWallMs) {
 		if (!this.known || atNanos - this.confirmedNanos > 0) {
 			this.confirmedNanos = atNanos;
+			this.offsetMs = askedWallMs - TimeUnit.NANOSECONDS.toMillis(askedNanos);
 		}
 		this.known = true;
-		this.offsetMs = wallMs - TimeUnit.NANOSECONDS.toMillis(nowNanos);
 	}
 
 	/**
--- a/core/src/test/java/org/baobabknot/fleet/FleetTests.java
+++ b/core/src/test/java/org/baobabknot/fleet/FleetTests.java
@@ -156,6 +156,20 @@
 			assertThat(this.freshness.ageMs(700 * MS, 700), is(200L));
 		}
 
+		@Test
+		void anOlderConfirmationDoesNotHideASuspension() {
+			this.freshness.confirm(500 * MS, 500 * MS, 500);
+			this.freshness.confirm(100 * MS, 600 * MS, 6_600);
+			assertThat(this.freshness.ageMs(700 * MS, 6_700), is(6_200L));
+		}
+
+		@Test
+		void aSuspensionWhileAConfirmationIsOnItsWayCounts() {
+			this.freshness.confirm(0, 0, 1_000);
+			this.freshness.confirm(200 * MS, 300 * MS, 1_300);
+			assertThat(this.freshness.ageMs(310 * MS, 6_310), is(5_110L));
+		}
+
 	}
 
 	@Nested
