Give up answers of engines that never end, in the head or the body

What callers would see: an engine in trouble that sends bytes until its caller closes fills the memory of a gateway, which ends and takes all its other requests along.

Cause: an answer that is collected whole had no bound in a gateway, an event of a stream neither; interim answers and answers to other requests were read past without end; an answer of the store or of an engine's report that trickles resets its time-out with each part.

Ruled out: that the deadline of the request is enough.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -109,6 +109,14 @@
 	/** Part of the file descriptors for connections of callers. */
 	private static final double CALLER_SHARE = 0.5;
 
+	/**
+	 * Part of the heap for answers that are collected whole; buffers grow by doubling.
+	 */
+	private static final double ANSWER_SHARE = 0.2;
+
+	/** Largest answer that is collected whole, as large as the largest request. */
+	private static final int MOST_ANSWER_BYTES = 4 << 20;
+
 	/** Time that a plain service usually takes, until its answers tell. */
 	private static final double USUAL_MS = 50;
 
@@ -132,6 +140,9 @@
 
 	private final TargetPool targets;
 
+	private final AnswerMemory answerMemory = new AnswerMemory((long) (Runtime.getRuntime().maxMemory() * ANSWER_SHARE),
+			MOST_ANSWER_BYTES);
+
 	private final Placement placement;
 
 	private final RandomGenerator random = new SplittableRandom();
@@ -257,6 +268,10 @@
 		return this.view;
 	}
 
+	AnswerMemory answerMemory() {
+		return this.answerMemory;
+	}
+
 	DecisionLog log() {
 		return this.log;
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -62,6 +62,9 @@
 	 */
 	private static final int MOST_FREE_SENDS = 4;
 
+	/** Bytes of one event of a stream; usual ones have less than one kB. */
+	private static final int MOST_EVENT_BYTES = 128 << 10;
+
 	/** Objective of routes that state none. */
 	private static final long STANDARD_OBJECTIVE_MS = 1_000;
 
@@ -186,8 +189,8 @@
 	private void send(PlacementResult.Chosen chosen, long leftMs, long now) {
 		Route matched = route();
 		boolean streams = matched.kind() == RequestKind.STREAM;
-		TargetAttempt opened = new TargetAttempt(this, chosen.candidate().target(), chosen.candidate().load(),
-				this.head.requestId(), streams, chosen.predictedMs(), now);
+		TargetAttempt opened = new TargetAttempt(this, this.gateway.answerMemory(), chosen.candidate().target(),
+				chosen.candidate().load(), this.head.requestId(), streams, chosen.predictedMs(), now);
 		this.attempt = opened;
 		this.sends++;
 		this.tried.add(chosen.candidate().target().id());
@@ -329,6 +332,9 @@
 		ByteBuf whole = got.add(part);
 		if (!whole.isReadable()) {
 			whole.release();
+			if (got.pendingBytes() > MOST_EVENT_BYTES) {
+				from.endless("an event of more than " + MOST_EVENT_BYTES + " bytes");
+			}
 			return;
 		}
 		startStream(from, answerHead);
--- a/daemon/src/main/java/org/baobabknot/gateway/StreamEvents.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/StreamEvents.java
@@ -67,6 +67,14 @@
 		return rest;
 	}
 
+	/**
+	 * Bytes of the event that has not ended yet.
+	 * @return their number
+	 */
+	int pendingBytes() {
+		return this.pending.readableBytes();
+	}
+
 	/**
 	 * Number of the last whole event.
 	 * @return the number, negative before the first
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -22,6 +22,8 @@
 
 	private final GatewayRequest request;
 
+	private final AnswerMemory memory;
+
 	private final TargetRecord target;
 
 	private final TargetLoad load;
@@ -46,9 +48,10 @@
 
 	private boolean done;
 
-	TargetAttempt(GatewayRequest request, TargetRecord target, TargetLoad load, String requestId, boolean streams,
-			double predictedMs, long sentNanos) {
+	TargetAttempt(GatewayRequest request, AnswerMemory memory, TargetRecord target, TargetLoad load, String requestId,
+			boolean streams, double predictedMs, long sentNanos) {
 		this.request = request;
+		this.memory = memory;
 		this.target = target;
 		this.load = load;
 		this.requestId = requestId;
@@ -129,9 +132,26 @@
 		if (this.streams && passes(decoded)) {
 			this.request.events(this, Objects.requireNonNull(this.head), part);
 		}
-		else {
+		else if (this.memory.tryGrow(this.whole.readableBytes(), part.readableBytes())) {
 			this.whole.writeBytes(part);
 		}
+		else {
+			endless("no room for more than " + this.whole.readableBytes() + " bytes");
+		}
+	}
+
+	/**
+	 * Gives up an answer that does not seem to end.
+	 * @param detail what was seen
+	 */
+	void endless(String detail) {
+		HttpExchange open = this.exchange;
+		if (finish()) {
+			if (open != null) {
+				open.cancel(detail);
+			}
+			this.request.failed(this, Failure.afterSending("read answer", this.target.address(), detail));
+		}
 	}
 
 	@Override
@@ -214,6 +234,7 @@
 			return false;
 		}
 		this.done = true;
+		this.memory.release(this.whole.readableBytes());
 		this.load.dropped(this, System.nanoTime());
 		this.load.ended();
 		return true;
