Wait for an agent that is connected again but can't be chosen yet

Cause: an open connection is in the list of peers before the balancer has its agent, on another event loop. A request in between found no agent to choose and a connection, so it did not wait. In the same class: a close could remove an agent that a new connection had just added.

Ruled out: the dialer, which opened the connection each time. Change: waiting depends on agents that can be chosen; adding and removing exclude each other.

--- a/core/src/main/java/org/baobabknot/routing/Balancer.java
+++ b/core/src/main/java/org/baobabknot/routing/Balancer.java
@@ -60,6 +60,17 @@
 		}
 	}
 
+	/**
+	 * Tells whether an agent has been added.
+	 * @param agent instance name
+	 * @return whether it may be chosen
+	 */
+	public boolean knows(String agent) {
+		synchronized (this.lock) {
+			return this.agents.containsKey(agent);
+		}
+	}
+
 	/**
 	 * Removes an agent that this process is no longer connected to.
 	 * @param agent instance name
--- a/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
+++ b/daemon/src/main/java/org/baobabknot/entry/AgentTable.java
@@ -48,6 +48,8 @@
 
 	private final Map<String, List<CompletableFuture<Connection>>> waiting = new ConcurrentHashMap<>();
 
+	private final Object changing = new Object();
+
 	private volatile boolean everConnected;
 
 	AgentTable(Node node, Balancer balancer, Dialer dialer) {
@@ -95,15 +97,16 @@
 	}
 
 	/**
-	 * Whether the service has live agents of which none is connected, so that waiting for
-	 * a connection makes sense.
+	 * Whether the service has live agents of which none can be chosen yet, so that
+	 * waiting for a connection makes sense. A connection is open shortly before its agent
+	 * can be chosen.
 	 * @param service the service
-	 * @return false if an agent is connected, or if there is none
+	 * @return false if an agent can be chosen, or if there is none
 	 */
 	boolean reconnecting(String service) {
 		List<Member> members = this.node.membership().agents(service);
-		return members.stream().anyMatch((member) -> member.state() == MemberState.LIVE)
-				&& members.stream().noneMatch((member) -> connection(member.instance()).isPresent());
+		return members.stream().anyMatch((member) -> member.state() == MemberState.LIVE) && members.stream()
+			.noneMatch((member) -> connection(member.instance()).isPresent() && this.balancer.knows(member.instance()));
 	}
 
 	void report(String agent, Load load) {
@@ -140,7 +143,9 @@
 		}
 		String agent = connection.peerName();
 		Optional<Member> member = this.node.membership().member(agent);
-		this.balancer.add(agent, member.map(Member::service).orElse(""), connection.peer().getFailureDomain());
+		synchronized (this.changing) {
+			this.balancer.add(agent, member.map(Member::service).orElse(""), connection.peer().getFailureDomain());
+		}
 		member.ifPresent((known) -> this.balancer.leaving(agent, known.state() != MemberState.LIVE));
 		this.everConnected = true;
 		List<CompletableFuture<Connection>> waiters = this.waiting.remove(agent);
@@ -158,10 +163,17 @@
 
 	@Override
 	public void closed(Connection connection, Failure failure) {
-		if (connection.peer().getRole() == Role.AGENT && connection(connection.peerName()).isEmpty()) {
+		if (connection.peer().getRole() != Role.AGENT) {
+			return;
+		}
+		// A new connection of the agent may open on another event loop.
+		synchronized (this.changing) {
+			if (connection(connection.peerName()).isPresent()) {
+				return;
+			}
 			this.balancer.remove(connection.peerName());
-			this.node.events().record("agent-lost", failure.toString());
 		}
+		this.node.events().record("agent-lost", failure.toString());
 	}
 
 	private void refresh(MemberSnapshot members) {
--- a/daemon/src/test/java/org/baobabknot/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/baobabknot/entry/EntryFixture.java
@@ -15,6 +15,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.baobabknot.configuration.Revision;
 import org.baobabknot.daemon.Daemon;
+import org.baobabknot.gossip.PeerListener;
 import org.baobabknot.membership.Member;
 import org.baobabknot.membership.MemberRole;
 import org.baobabknot.membership.MemberState;
@@ -36,6 +37,8 @@
 			once s POST /orders # test: needed
 			""".formatted("0".repeat(64));
 
+	static final Settings.Http HTTP = new Settings.Http("127.0.0.1", 0, 64, 4096, 1 << 20, 400, 400, 60_000);
+
 	final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
 
 	final List<FakeAgent> agents = new ArrayList<>();
@@ -43,7 +46,7 @@
 	final Daemon daemon;
 
 	EntryFixture(int count) throws IOException {
-		this(count, new Settings.Http("127.0.0.1", 0, 64, 4096, 1 << 20, 400, 400, 60_000));
+		this(count, HTTP);
 	}
 
 	EntryFixture(int count, Settings.Http http) throws IOException {
@@ -51,7 +54,22 @@
 	}
 
 	EntryFixture(int count, Settings.Http http, IntUnaryOperator route) throws IOException {
-		this.daemon = new Daemon(settings(http), EntryRole::new);
+		this(count, http, route, new PeerListener() {
+		});
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param count agents
+	 * @param http caller port
+	 * @param route port at which the agent with a port is listed
+	 * @param first told of connections before the entry is
+	 */
+	EntryFixture(int count, Settings.Http http, IntUnaryOperator route, PeerListener first) throws IOException {
+		this.daemon = new Daemon(settings(http), (node) -> {
+			node.peers().listen(first);
+			return new EntryRole(node);
+		});
 		this.daemon.start().join();
 		RulesResult rules = new RulesReader().read(RULES);
 		this.daemon.node()
