Say at once that the store is out of reach, so that followers read it themselves

Cause: the store turned away a third of the gateways. One that it served followed four that it did not. Each of these kept its question for 1.5 s before it said so, and by then the first one could be asked again, so the follower never turned to the store.

Evidence: ValueRelayTests.whenNoSourceReachesTheStoreItIsReadSoon took 28.7 s before (bound 1.5 s) and passes; ConfigurationOverSharedLinkTests, GatewayTests and LoaderTests pass.

Ruled out: the gateway's own way to the store, which was not disturbed.

--- a/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
@@ -120,7 +120,9 @@
 	private void asked(Question question) {
 		Snapshot now = snapshot(question);
 		boolean younger = now.connected() && now.ageMs() + YOUNGER_MS < question.pull.getAgeMs();
-		boolean news = now.revision() > 0 && (!now.changed().isEmpty() || younger);
+		// Who can't reach the store has no news to wait for: the process turns elsewhere.
+		boolean lost = !now.connected();
+		boolean news = now.revision() > 0 && (!now.changed().isEmpty() || younger || lost);
 		if (news || question.pull.getWaitMs() == 0 || this.waiting.size() >= MOST_WAITING) {
 			question.answer(now);
 			return;
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -102,6 +102,22 @@
 			assertThat(tookMs, is(lessThan(2_000L)));
 		}
 
+		@Test
+		void whenNoSourceReachesTheStoreItIsReadSoon() throws Exception {
+			ValueRelay relay = following(server(silent()), server(silent()), server(silent()), server(silent()));
+			long began = System.nanoTime();
+			while (!readsStore(relay)) {
+				ValueRelayTests.this.loop.submit(() -> relay.poll("", Map.of("k", 5L), 1_500, 10))
+					.get()
+					.get(5, TimeUnit.SECONDS);
+			}
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began), is(lessThan(1_500L)));
+		}
+
+		private static Snapshot silent() {
+			return new Snapshot(5, Map.of("k", 5L), List.of(), false, 3_000);
+		}
+
 		@Test
 		void aSourceThatIsBackIsFollowedAgain() throws Exception {
 			EntryRecord late = nobody();
