Measure the delay of the link beside each engine and log it

It goes into the log, into the reports of load and into the lines on attempts and requests, next to the time that the attempt took. No decision uses it yet.

--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -51,6 +51,8 @@
 
 	private long observedNanos;
 
+	private double linkDelayMs;
+
 	private boolean everObserved;
 
 	private boolean closed;
@@ -174,16 +176,28 @@
 	 * the target told with its answers as long as it is fresh.
 	 * @param requests requests that run or wait at the target
 	 * @param accepts whether the target starts new requests, false while it loads weights
+	 * @param delayMs time for which bytes wait at the link of the target's machine, in ms
 	 * @param nowNanos monotonic time
 	 */
-	public void observed(int requests, boolean accepts, long nowNanos) {
+	public void observed(int requests, boolean accepts, double delayMs, long nowNanos) {
 		this.observed = requests;
+		this.linkDelayMs = delayMs;
 		this.inFlightAtObservation = this.inFlight;
 		this.observedNanos = nowNanos;
 		this.everObserved = true;
 		this.closed = !accepts;
 	}
 
+	/**
+	 * Returns for how long bytes wait at the link of the target's machine, as the process
+	 * beside it measures. What is sent over a link that is filled can't be taken back.
+	 * @param nowNanos monotonic time
+	 * @return time in ms, 0 if nothing is known that is fresh
+	 */
+	public double linkDelayMs(long nowNanos) {
+		return (fresh(nowNanos)) ? this.linkDelayMs : 0;
+	}
+
 	/**
 	 * Tells whether the target is known to start no new requests.
 	 * @param nowNanos monotonic time
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -480,8 +480,9 @@
 		this.connections.remove(connection);
 	}
 
-	private void observed(String address, int requests, boolean accepts) {
-		this.targets.at(address).ifPresent((state) -> state.load().observed(requests, accepts, System.nanoTime()));
+	private void observed(String address, int requests, boolean accepts, int linkDelayMs) {
+		this.targets.at(address)
+			.ifPresent((state) -> state.load().observed(requests, accepts, linkDelayMs, System.nanoTime()));
 	}
 
 	private void accept(Channel channel) {
--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -17,7 +17,7 @@
 import org.baobabknot.protocol.generated.LoadReport;
 
 /**
- * Takes the reports of load that loaders send.
+ * Takes the reports of load that loaders send, and sends their probes back.
  */
 final class LoadReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
@@ -52,13 +52,17 @@
 	protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 		try {
 			LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
+			if (report.getProbe() != 0) {
+				context.writeAndFlush(new DatagramPacket(packet.content().retain(), packet.sender()));
+				return;
+			}
 			Long known = this.sequences.get(report.getAddress());
 			// A sender that starts again begins its sequence with the time of day.
 			if (known == null || known < report.getSequence()) {
 				this.sequences.put(report.getAddress(), report.getSequence());
 				this.listener.reported(report.getAddress(),
 						report.getLoad().getRunning() + report.getLoad().getQueued(),
-						report.getLoad().getAdmission() != Admission.SWITCHING);
+						report.getLoad().getAdmission() != Admission.SWITCHING, report.getLinkDelayMs());
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
@@ -81,8 +85,9 @@
 		 * @param address address of the target
 		 * @param requests requests that run or wait there
 		 * @param accepts whether it starts new requests
+		 * @param linkDelayMs time for which bytes wait at the link of its machine, in ms
 		 */
-		void reported(String address, int requests, boolean accepts);
+		void reported(String address, int requests, boolean accepts, int linkDelayMs);
 
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -32,6 +32,7 @@
 			.with("predictedMs", Math.round(from.predictedMs()))
 			.with("load", Math.round(from.load().total(now)))
 			.with("lagMs", Math.round(from.load().lagMs(now)))
+			.with("linkMs", Math.round(from.load().linkDelayMs(now)))
 			.with("afterMs", (now - from.sentNanos()) / NANOS_PER_MS)
 			.write();
 	}
@@ -45,6 +46,8 @@
 			.with("route", end.route())
 			.with("target", (at != null) ? at.target().id() : "")
 			.with("load", (at != null) ? Math.round(at.load().total(System.nanoTime())) : -1)
+			.with("linkMs", (at != null) ? Math.round(at.load().linkDelayMs(System.nanoTime())) : -1)
+			.with("attemptMs", (at != null) ? (System.nanoTime() - at.sentNanos()) / NANOS_PER_MS : -1)
 			.with("sends", end.sends())
 			.with("events", end.events())
 			.with("tookMs", end.tookMs())
--- a/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
+++ b/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
@@ -5,24 +5,30 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.baobabknot.fleet.EntryRecord;
+import org.baobabknot.link.LinkDelay;
 import org.baobabknot.protocol.generated.Admission;
 import org.baobabknot.protocol.generated.Load;
 import org.baobabknot.protocol.generated.LoadReport;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Tells all entries the load of one engine, when it has changed and at least once a
- * second. A report is one datagram; a lost one is replaced by the next.
+ * Tells all entries the load of one engine and the delay of its link, when one of them
+ * has changed and at least once a second. A report is one datagram; a lost one is
+ * replaced by the next. The delay is that of probes, which entries send back: those of
+ * the own region first, since the links between regions are not of this machine. Runs on
+ * one event loop.
  */
 final class LoadSender {
 
@@ -33,8 +39,18 @@
 	/** Change of the requests at an engine that entries are told. */
 	private static final int LEAST_CHANGE = 2;
 
+	/**
+	 * Change of the link's delay that entries are told, in ms: a part of the half second
+	 * for which a request may go on after its caller has left.
+	 */
+	private static final double LEAST_DELAY_CHANGE_MS = 60;
+
 	private final String address;
 
+	private final String region;
+
+	private final LinkDelay delay = new LinkDelay();
+
 	private @Nullable Channel channel;
 
 	private long sequence = System.currentTimeMillis() << 16;
@@ -45,14 +61,29 @@
 
 	private long toldNanos;
 
-	LoadSender(String address) {
+	private double toldDelayMs;
+
+	private int probed;
+
+	/**
+	 * Creates a sender that sends nothing yet.
+	 * @param address address of the engine, as targets are listed
+	 * @param region region of this machine
+	 */
+	LoadSender(String address, String region) {
 		this.address = address;
+		this.region = region;
 	}
 
 	void open(EventLoop loop, String host) {
 		ChannelFuture binding = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
-			.handler(new ChannelInboundHandlerAdapter() {
+			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+				@Override
+				protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+					echoed(packet);
+				}
+
 				@Override
 				public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 					logger.atInfo().log("datagram port: %s", cause);
@@ -69,6 +100,46 @@
 		});
 	}
 
+	private void echoed(DatagramPacket packet) {
+		try {
+			LoadReport echo = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
+			this.delay.echoed(echo.getProbe(), System.nanoTime());
+		}
+		catch (InvalidProtocolBufferException ex) {
+			logger.atInfo().log("dropping a datagram from %s: %s", packet.sender(), ex.getMessage());
+		}
+	}
+
+	/**
+	 * Sends a probe to the next entry of the own region, or of any region if those don't
+	 * answer.
+	 * @param entries all entries
+	 */
+	void probe(List<EntryRecord> entries) {
+		Channel open = this.channel;
+		List<EntryRecord> near = entries.stream().filter((entry) -> entry.region().equals(this.region)).toList();
+		List<EntryRecord> asked = (near.isEmpty() || this.delay.unanswered()) ? entries : near;
+		if (open == null || asked.isEmpty()) {
+			return;
+		}
+		this.probed++;
+		EntryRecord entry = asked.get(Math.floorMod(this.probed, asked.size()));
+		byte[] bytes = LoadReport.newBuilder().setProbe(this.delay.sent(System.nanoTime())).build().toByteArray();
+		open.writeAndFlush(datagram(bytes, entry));
+	}
+
+	/**
+	 * Returns for how long bytes wait at the link of this machine.
+	 * @return time in ms
+	 */
+	double delayMs() {
+		return this.delay.delayMs(System.nanoTime());
+	}
+
+	private static DatagramPacket datagram(byte[] bytes, EntryRecord entry) {
+		return new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(entry.host(), entry.port()));
+	}
+
 	/**
 	 * Tells the load if it is worth telling.
 	 * @param entries all entries
@@ -80,16 +151,20 @@
 		Channel open = this.channel;
 		long now = System.nanoTime();
 		int requests = running + waiting;
-		boolean changed = Math.abs(requests - this.toldRequests) >= LEAST_CHANGE || accepts != this.toldAccepts;
+		double delayMs = delayMs();
+		boolean changed = Math.abs(requests - this.toldRequests) >= LEAST_CHANGE || accepts != this.toldAccepts
+				|| Math.abs(delayMs - this.toldDelayMs) >= LEAST_DELAY_CHANGE_MS;
 		if (open == null || (!changed && now - this.toldNanos < LONGEST_PAUSE_NANOS)) {
 			return;
 		}
 		this.toldRequests = requests;
 		this.toldAccepts = accepts;
+		this.toldDelayMs = delayMs;
 		this.toldNanos = now;
 		byte[] bytes = LoadReport.newBuilder()
 			.setAddress(this.address)
 			.setSequence(++this.sequence)
+			.setLinkDelayMs((int) Math.round(delayMs))
 			.setLoad(Load.newBuilder()
 				.setRunning(running)
 				.setQueued(waiting)
@@ -97,8 +172,7 @@
 			.build()
 			.toByteArray();
 		for (EntryRecord entry : entries) {
-			open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
-					new InetSocketAddress(entry.host(), entry.port())));
+			open.write(datagram(bytes, entry));
 		}
 		open.flush();
 	}
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -49,6 +49,11 @@
 	/** Ticks between two looks at an engine that has what it should have. */
 	private static final int TICKS_AT_REST = 3;
 
+	/**
+	 * Delay of the link that is worth a line, in ms: an objective is a few times that.
+	 */
+	private static final double FILLED_LINK_MS = 100;
+
 	/** Time after which an order that had no visible effect is given again. */
 	private static final long REPEAT_ORDER_MS = 1_000;
 
@@ -98,6 +103,8 @@
 
 	private boolean resting;
 
+	private boolean linkFilled;
+
 	/**
 	 * Creates a loader that does nothing yet.
 	 * @param settings its settings
@@ -120,7 +127,7 @@
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
 		this.server = new ChunkServer(this.loop, settings.domain(), settings.resources().linkBytesPerSecond(),
 				this::version);
-		this.sender = new LoadSender(address.host() + ":" + address.port());
+		this.sender = new LoadSender(address.host() + ":" + address.port(), settings.region());
 		this.manifests = new Manifests(this.loop);
 		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.manifests::origin);
 		this.orders = Counter.builder()
@@ -157,7 +164,12 @@
 		List.copyOf(this.fetches.values()).forEach((fetch) -> step(service.get(), fetch));
 		List.copyOf(this.ahead.values()).forEach((fetch) -> step(service.get(), fetch));
 		this.ticks++;
-		if (this.asking || (this.resting && this.ticks % TICKS_AT_REST != 0)) {
+		boolean rests = this.resting && this.ticks % TICKS_AT_REST != 0;
+		if (!rests) {
+			this.sender.probe(this.view.entries());
+			logLink();
+		}
+		if (this.asking || rests) {
 			return;
 		}
 		this.asking = true;
@@ -167,6 +179,21 @@
 		});
 	}
 
+	private void logLink() {
+		double delayMs = this.sender.delayMs();
+		boolean filled = delayMs >= FILLED_LINK_MS;
+		if (filled || this.linkFilled) {
+			this.log
+				.line((filled == this.linkFilled) ? DecisionLog.Importance.SUCCESS : DecisionLog.Importance.STATE,
+						"link-filled")
+				.with("filled", Boolean.toString(filled))
+				.with("delayMs", Math.round(delayMs))
+				.with("fetches", this.fetches.size() + this.ahead.size())
+				.write();
+		}
+		this.linkFilled = filled;
+	}
+
 	// An engine that starts answers later than its loader, which fetches meanwhile from
 	// others. When no other one is listed the whole fleet starts, and its engines may
 	// hold the version.
