Ask for the bytes of a chunk only when the link has room for them

Cause: a loader had 32 requests for chunks open that were answered when the sender held a chunk, so 786 kB could be on their way at once, 7.9 s of a link that is narrowed to a sixth. The rate of uploads followed the stated rate of the link. Neither could be taken back.

Ruled out: gateways that see a close late (the trace shows the same millisecond); links between regions (probes go to the own region).

Change: loaders ask which chunks a member holds, and ask for the bytes as far as BulkWindow allows: one at first, one more for each fast transfer, half when one was slow, and a pause of the same length when one at a time is slow. The same window bounds uploads, confirmed by probes of the link. A member behind a slow link leaves its chunks of the origin to others. What is asked of the origin counts too.

Test: ScheduledFetchTests.requestsWaitForHalfASecondAtMostBehindChunks failed before with 1,068, 2,592 and 2,237 ms (bound 500); it counts from the start of a fetch now, where the test it replaces left out the first 6 s and allowed 1,000 ms.

--- a/core/src/main/java/org/baobabknot/distribution/FetchStep.java
+++ b/core/src/main/java/org/baobabknot/distribution/FetchStep.java
@@ -4,14 +4,15 @@
 import java.util.Optional;
 
 /**
- * One fetch to start.
+ * One request to start. A question asks which of some chunks a member holds, a transfer
+ * asks for the bytes of one chunk.
  *
  * @param source the member to ask, or nothing for the origin
- * @param chunks numbers of the chunks, any one of which answers the request; one for the
- * origin
+ * @param chunks numbers of the chunks; one for a transfer
  * @param lane which of the requests to the member this is
+ * @param transfer whether the bytes are asked for
  */
-public record FetchStep(Optional<Peer> source, List<Integer> chunks, int lane) {
+public record FetchStep(Optional<Peer> source, List<Integer> chunks, int lane, boolean transfer) {
 
 	public FetchStep {
 		chunks = List.copyOf(chunks);
--- a/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
+++ b/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
@@ -5,14 +5,18 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.link.BulkWindow;
+
 /**
  * Decides which chunks of a version one member asks of whom, along a
  * {@link ChunkSchedule}. Answers the load of a version that all members fetch at the same
@@ -21,7 +25,10 @@
  * it only when that one is out of reach or says that the origin does not answer it.
  * Otherwise all members would ask for the same few chunks when the origin returns from an
  * outage. A member is asked for any of the chunks that it should have, so that a request
- * never waits for one chunk while the member holds another. Confined to one thread.
+ * never waits for one chunk while the member holds another. It answers with what it holds
+ * and is asked for the bytes then, as far as a {@link BulkWindow} allows: an answer that
+ * comes when the sender is ready, and not when the receiver is, could not be held back.
+ * Confined to one thread.
  */
 public final class ScheduledFetch {
 
@@ -36,20 +43,8 @@
 	 */
 	static final int LARGE_FLEET = 6;
 
-	/** Requests to members at once at first, two to each of a fleet of 16. */
-	static final int FIRST_WINDOW = 32;
-
-	/** Requests to members at once at least: the link must not run dry. */
-	static final int LEAST_WINDOW = 2;
-
-	/**
-	 * Time on the link of a chunk above which fewer chunks are asked for at once, in ms.
-	 * Live requests to the target on the same machine wait behind the chunks.
-	 */
-	static final double SLOW_TRANSFER_MS = 250;
-
-	/** Time on the link below which more chunks are asked for at once, in ms. */
-	static final double FAST_TRANSFER_MS = 120;
+	/** Questions to members at once, two to each of a fleet of 16. */
+	static final int MOST_QUESTIONS = 32;
 
 	/** Time for which a member that could not be reached is passed over, in ms. */
 	static final long AVOID_MS = 2_500;
@@ -104,9 +99,13 @@
 
 	private ChunkSchedule schedule;
 
-	private int window = FIRST_WINDOW;
+	private final Map<Lane, List<Integer>> offers = new LinkedHashMap<>();
+
+	private final BitSet onTheWay = new BitSet();
 
-	private long narrowedNanos;
+	private final Map<Peer, Integer> sending = new HashMap<>();
+
+	private final BulkWindow window;
 
 	private int originFailures;
 
@@ -116,9 +115,11 @@
 	 * Creates the fetch of one version.
 	 * @param self this member
 	 * @param chunks chunks of the version
+	 * @param window bounds all transfers to this machine
 	 */
-	public ScheduledFetch(Peer self, int chunks) {
+	public ScheduledFetch(Peer self, int chunks, BulkWindow window) {
 		this.self = self;
+		this.window = window;
 		this.chunks = chunks;
 		this.misses = new int[chunks];
 		this.schedule = new ChunkSchedule(self, this.members);
@@ -183,46 +184,102 @@
 	 * @return whether this member can expect to get them
 	 */
 	public FetchFailure missing() {
-		return (this.originFailures > 0) ? FetchFailure.NOT_SUPPLIED : FetchFailure.NOT_HELD;
+		return (this.originFailures > 0 || this.window.slow()) ? FetchFailure.NOT_SUPPLIED : FetchFailure.NOT_HELD;
 	}
 
 	/**
-	 * Returns the fetches to start now. Each of them must be ended with {@link #ended} or
-	 * {@link #failed}.
+	 * Returns the requests to start now. Each of them must be ended with
+	 * {@link #offered}, {@link #ended}, {@link #corrupt} or {@link #failed}.
+	 * @param linkDelayMs time for which bytes wait at the link of this machine, in ms
 	 * @param nowNanos monotonic time
-	 * @return the fetches
+	 * @return the requests
 	 */
-	public List<FetchStep> next(long nowNanos) {
+	public List<FetchStep> next(double linkDelayMs, long nowNanos) {
 		List<FetchStep> steps = new ArrayList<>();
 		Map<Lane, List<Integer>> wanted = new HashMap<>();
 		for (int index = this.held.nextClearBit(0); index < this.chunks; index = this.held.nextClearBit(index + 1)) {
 			if (asksOrigin(index, nowNanos)) {
 				this.atOrigin.set(index);
-				steps.add(new FetchStep(Optional.empty(), List.of(index), 0));
+				steps.add(new FetchStep(Optional.empty(), List.of(index), 0, true));
 			}
 			int number = index;
 			member(index, nowNanos).map((member) -> lane(member, number))
-				.filter((lane) -> !this.atOrigin.get(number) && !this.asked.contains(lane))
+				.filter((lane) -> !this.atOrigin.get(number) && !this.onTheWay.get(number)
+						&& !this.asked.contains(lane))
 				.ifPresent((lane) -> wanted.computeIfAbsent(lane, (absent) -> new ArrayList<>()).add(number));
 		}
+		addTransfers(steps, linkDelayMs, nowNanos);
 		wanted.forEach((lane, indices) -> {
-			if (this.asked.size() >= this.window) {
-				return;
+			if (this.asked.size() < MOST_QUESTIONS) {
+				this.asked.add(lane);
+				steps.add(new FetchStep(Optional.of(lane.member()), indices, lane.number(), false));
 			}
-			this.asked.add(lane);
-			steps.add(new FetchStep(Optional.of(lane.member()), indices, lane.number()));
 		});
 		return steps;
 	}
 
+	// Chunks that others of the domain wait for come first, then those of the members
+	// that send the fewest to this one now.
+	private void addTransfers(List<FetchStep> steps, double linkDelayMs, long now) {
+		this.offers.values().forEach((offered) -> offered.removeIf(this::needless));
+		this.offers.entrySet().removeIf((offer) -> {
+			boolean empty = offer.getValue().isEmpty();
+			if (empty) {
+				this.asked.remove(offer.getKey());
+			}
+			return empty;
+		});
+		Comparator<Lane> order = Comparator
+			.comparing((Lane lane) -> !this.schedule.inward(first(this.offers.getOrDefault(lane, List.of()))))
+			.thenComparing((lane) -> this.sending.getOrDefault(lane.member(), 0));
+		while (true) {
+			Optional<Lane> best = this.offers.keySet()
+				.stream()
+				.filter((lane) -> first(this.offers.getOrDefault(lane, List.of())) >= 0)
+				.min(order);
+			if (best.isEmpty() || !this.window.tryStart(linkDelayMs, now)) {
+				return;
+			}
+			Lane lane = best.get();
+			int index = first(this.offers.getOrDefault(lane, List.of()));
+			this.onTheWay.set(index);
+			this.sending.merge(lane.member(), 1, Integer::sum);
+			steps.add(new FetchStep(Optional.of(lane.member()), List.of(index), lane.number(), true));
+		}
+	}
+
+	private boolean needless(int index) {
+		return this.held.get(index) || this.onTheWay.get(index) || this.atOrigin.get(index);
+	}
+
+	private int first(List<Integer> offered) {
+		int found = -1;
+		for (int index : offered) {
+			if (!needless(index) && (found < 0 || (this.schedule.inward(index) && !this.schedule.inward(found)))) {
+				found = index;
+			}
+		}
+		return found;
+	}
+
 	/**
-	 * A fetch brought a chunk.
-	 * @param step the fetch
-	 * @param index number of the chunk
+	 * A member answered a question.
+	 * @param step the question
+	 * @param indices chunks that it holds
 	 */
-	public void ended(FetchStep step, int index) {
-		end(step);
-		held(index);
+	public void offered(FetchStep step, Collection<Integer> indices) {
+		this.offers.put(new Lane(step.source().orElseThrow(), step.lane()), new ArrayList<>(indices));
+	}
+
+	/**
+	 * A transfer brought a chunk.
+	 * @param step the transfer
+	 * @param transferMs time for which it was on its way, in ms
+	 * @param nowNanos monotonic time
+	 */
+	public void ended(FetchStep step, double transferMs, long nowNanos) {
+		arrived(step, transferMs, nowNanos);
+		held(step.chunks().get(0));
 		if (step.source().isEmpty() && this.originFailures > 0) {
 			// What others said of the origin was said in the same outage.
 			this.originFailures = 0;
@@ -231,25 +288,17 @@
 		}
 	}
 
-	/**
-	 * Takes note of the time that a chunk was on the link. A link that is narrower than
-	 * usual gets fewer chunks at once.
-	 * @param transferMs time from its first to its last byte, in ms
-	 * @param nowNanos monotonic time
-	 */
-	public void transferred(double transferMs, long nowNanos) {
-		if (transferMs < FAST_TRANSFER_MS) {
-			this.window = Math.min(FIRST_WINDOW, this.window + 1);
-		}
-		else if (transferMs > SLOW_TRANSFER_MS && nowNanos - this.narrowedNanos > SLOW_TRANSFER_MS * MILLISECOND) {
-			this.window = Math.max(LEAST_WINDOW, this.window / 2);
-			this.narrowedNanos = nowNanos;
+	private void arrived(FetchStep step, double transferMs, long now) {
+		end(step);
+		// The time at the origin is mostly that of its own link.
+		if (step.source().isPresent()) {
+			this.window.arrived(transferMs, now);
 		}
 	}
 
 	/**
-	 * A fetch failed.
-	 * @param step the fetch
+	 * A request failed.
+	 * @param step the request
 	 * @param reason the reason
 	 * @param nowNanos monotonic time
 	 */
@@ -262,12 +311,22 @@
 			}
 			return;
 		}
+		if (step.transfer() && reason == FetchFailure.UNREACHABLE) {
+			this.window.lost(nowNanos);
+		}
+		else if (step.transfer()) {
+			this.window.refused();
+		}
+		Peer source = step.source().get();
 		if (reason == FetchFailure.UNREACHABLE) {
-			this.avoidedUntil.put(step.source().get(), nowNanos + AVOID_MS * MILLISECOND);
+			this.avoidedUntil.put(source, nowNanos + AVOID_MS * MILLISECOND);
+			withdraw(new Lane(source, 0));
+			withdraw(new Lane(source, 1));
 			return;
 		}
+		withdraw(new Lane(source, step.lane()));
 		for (int index : step.chunks()) {
-			if (this.schedule.fetcher(index).equals(step.source().get())) {
+			if (this.schedule.fetcher(index).equals(source)) {
 				noteSupply(index, reason != FetchFailure.NOT_SUPPLIED, nowNanos);
 			}
 			this.misses[index]++;
@@ -275,16 +334,24 @@
 	}
 
 	/**
-	 * A fetch brought a chunk whose bytes are wrong.
-	 * @param step the fetch
-	 * @param index number of the chunk
+	 * A transfer brought a chunk whose bytes are wrong.
+	 * @param step the transfer
+	 * @param transferMs time for which it was on its way, in ms
+	 * @param nowNanos monotonic time
 	 */
-	public void corrupt(FetchStep step, int index) {
-		end(step);
+	public void corrupt(FetchStep step, double transferMs, long nowNanos) {
+		arrived(step, transferMs, nowNanos);
+		int index = step.chunks().get(0);
 		// The next request for it goes to another member.
 		this.misses[index] += ASIDE - 1 - this.misses[index] % ASIDE;
 	}
 
+	private void withdraw(Lane lane) {
+		if (this.offers.remove(lane) != null) {
+			this.asked.remove(lane);
+		}
+	}
+
 	private int mostAtOrigin() {
 		return (this.members.size() < LARGE_FLEET) ? AT_ORIGIN : 1;
 	}
@@ -299,7 +366,10 @@
 	}
 
 	private boolean asksOrigin(int index, long now) {
-		if (this.atOrigin.get(index) || this.atOrigin.cardinality() >= mostAtOrigin()) {
+		if (this.atOrigin.get(index) || this.onTheWay.get(index) || this.atOrigin.cardinality() >= mostAtOrigin()) {
+			return false;
+		}
+		if (this.window.slow() && this.window.onTheWay() + this.atOrigin.cardinality() > 0) {
 			return false;
 		}
 		if (this.holders.isEmpty() && this.schedule.fromOrigin(index)) {
@@ -330,7 +400,7 @@
 
 	private Optional<Peer> member(int index, long now) {
 		boolean own = this.schedule.fromOrigin(index) && this.holders.isEmpty();
-		if (own && this.originFailures == 0) {
+		if (own && this.originFailures == 0 && !this.window.slow()) {
 			return Optional.empty();
 		}
 		List<Peer> candidates = new ArrayList<>(this.sources.computeIfAbsent(index, this::sources));
@@ -368,11 +438,17 @@
 	}
 
 	private void end(FetchStep step) {
-		if (step.source().isPresent()) {
-			this.asked.remove(new Lane(step.source().get(), step.lane()));
-		}
-		else {
+		if (step.source().isEmpty()) {
 			this.atOrigin.clear(step.chunks().get(0));
+			return;
+		}
+		if (step.transfer()) {
+			this.onTheWay.clear(step.chunks().get(0));
+			this.sending.merge(step.source().get(), -1, Integer::sum);
+		}
+		Lane lane = new Lane(step.source().get(), step.lane());
+		if (!this.offers.containsKey(lane)) {
+			this.asked.remove(lane);
 		}
 	}
 
--- a/core/src/main/java/org/baobabknot/link/LinkDelay.java
+++ b/core/src/main/java/org/baobabknot/link/LinkDelay.java
@@ -33,6 +33,8 @@
 
 	private long number;
 
+	private long confirmedNanos = Long.MIN_VALUE;
+
 	/**
 	 * Takes note of a probe that is sent now.
 	 * @param nowNanos monotonic time
@@ -58,6 +60,7 @@
 			Probe probe = this.away.removeFirst();
 			if (probe.number() == echoed) {
 				this.roundTripsMs.addLast(probe.awayMs(nowNanos));
+				this.confirmedNanos = probe.sentNanos();
 			}
 		}
 		while (this.roundTripsMs.size() > ROUND_TRIPS) {
@@ -65,6 +68,15 @@
 		}
 	}
 
+	/**
+	 * Returns when the newest probe that came back was sent. What was sent before it has
+	 * left the link of this machine.
+	 * @return monotonic time, {@link Long#MIN_VALUE} before the first echo
+	 */
+	public long confirmedNanos() {
+		return this.confirmedNanos;
+	}
+
 	/**
 	 * Tells whether more probes are away than may be lost, so that the next one had
 	 * better go to another group of peers.
--- a/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
+++ b/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
@@ -5,11 +5,12 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.link.BulkWindow;
+
 /**
  * Members that fetch one version over links with a rate and a queue, on simulated time.
  * The origin and each member send one chunk after the other; each member also receives
@@ -38,8 +39,6 @@
 	/** Longest time for an answer, as the loaders have it. */
 	private static final long TIMEOUT_NANOS = 2_200 * MS;
 
-	private static final long QUEUE_FROM_NANOS = 6_000 * MS;
-
 	private static final long CONNECT_NANOS = 500 * MS;
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -101,8 +100,7 @@
 	}
 
 	/**
-	 * Returns the longest time that a byte waited for a narrow link from six seconds
-	 * after the start.
+	 * Returns the longest time that a byte waited for a link.
 	 * @return time in ms
 	 */
 	double worstQueueMs() {
@@ -205,7 +203,7 @@
 
 		Member(Peer self) {
 			this.self = self;
-			this.fetch = new ScheduledFetch(self, CHUNKS);
+			this.fetch = new ScheduledFetch(self, CHUNKS, new BulkWindow());
 		}
 
 		void tick() {
@@ -220,7 +218,7 @@
 
 		private void step() {
 			this.fetch.members(LoaderSimulation.this.peers, LoaderSimulation.this.holders);
-			this.fetch.next(LoaderSimulation.this.now).forEach(this::start);
+			this.fetch.next(queueMs(), LoaderSimulation.this.now).forEach(this::start);
 		}
 
 		private void start(FetchStep step) {
@@ -244,6 +242,11 @@
 			at(LATENCY_NANOS, () -> other.asked(this, step));
 		}
 
+		// A probe of the link shows the queue in front of it.
+		private double queueMs() {
+			return Math.max(0, this.downloadFreeNanos - LoaderSimulation.this.now) / (double) MS;
+		}
+
 		private void fromOrigin(FetchStep step) {
 			long at = LoaderSimulation.this.now;
 			boolean down = at >= LoaderSimulation.this.originDownFrom && at < LoaderSimulation.this.originDownUntil;
@@ -261,13 +264,15 @@
 				return;
 			}
 			LoaderSimulation.this.sentByOrigin++;
-			at(sent - at, () -> receive(step, step.chunks().get(0)));
+			at(sent - at, () -> receive(step));
 		}
 
 		private void asked(Member from, FetchStep step) {
-			Optional<Integer> found = step.chunks().stream().filter(this.holds::contains).findFirst();
-			if (found.isPresent()) {
-				send(from, step, found.get());
+			if (step.transfer()) {
+				send(from, step);
+				return;
+			}
+			if (offer(from, step)) {
 				return;
 			}
 			Waiting request = new Waiting(from, step);
@@ -280,32 +285,42 @@
 			});
 		}
 
-		private void send(Member to, FetchStep step, int index) {
+		private boolean offer(Member to, FetchStep step) {
+			List<Integer> found = step.chunks().stream().filter(this.holds::contains).toList();
+			if (found.isEmpty()) {
+				return false;
+			}
+			at(LATENCY_NANOS, () -> {
+				if (to.openSince.remove(step) != null) {
+					to.fetch.offered(step, found);
+					to.step();
+				}
+			});
+			return true;
+		}
+
+		private void send(Member to, FetchStep step) {
 			long sent = Math.max(LoaderSimulation.this.now, this.uploadFreeNanos)
 					+ nanos(LINK_BYTES_PER_SECOND * UPLOAD_SHARE);
 			this.uploadFreeNanos = sent;
-			at(sent - LoaderSimulation.this.now + LATENCY_NANOS, () -> to.receive(step, index));
+			at(sent - LoaderSimulation.this.now + LATENCY_NANOS, () -> to.receive(step));
 		}
 
-		private void receive(FetchStep step, int index) {
+		private void receive(FetchStep step) {
+			int index = step.chunks().get(0);
 			boolean narrow = peers().indexOf(this.self) == LoaderSimulation.this.narrowMember;
 			double rate = LINK_BYTES_PER_SECOND / ((narrow) ? LoaderSimulation.this.narrowTimes : 1);
 			long arrived = LoaderSimulation.this.now;
 			long received = Math.max(arrived, this.downloadFreeNanos) + nanos(rate);
 			this.downloadFreeNanos = received;
 			double queueMs = (received - arrived) / (double) MS;
-			if (narrow && arrived > QUEUE_FROM_NANOS) {
-				LoaderSimulation.this.worstQueueMs = Math.max(LoaderSimulation.this.worstQueueMs, queueMs);
-			}
+			LoaderSimulation.this.worstQueueMs = Math.max(LoaderSimulation.this.worstQueueMs, queueMs);
 			at(received - LoaderSimulation.this.now, () -> {
 				if (step.source().isPresent() && this.openSince.remove(step) == null) {
 					return;
 				}
-				if (step.source().isPresent()) {
-					this.fetch.transferred(queueMs, LoaderSimulation.this.now);
-				}
 				this.holds.add(index);
-				this.fetch.ended(step, index);
+				this.fetch.ended(step, queueMs, LoaderSimulation.this.now);
 				if (this.doneNanos == 0 && this.fetch.complete()) {
 					this.doneNanos = LoaderSimulation.this.now;
 				}
@@ -313,7 +328,7 @@
 					.filter((request) -> request.step().chunks().contains(index))
 					.toList();
 				this.waiting.removeAll(served);
-				served.forEach((request) -> send(request.from(), request.step(), index));
+				served.forEach((request) -> offer(request.from(), request.step()));
 				step();
 			});
 		}
--- a/core/src/test/java/org/baobabknot/distribution/ScheduledFetchTests.java
+++ b/core/src/test/java/org/baobabknot/distribution/ScheduledFetchTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.baobabknot.link.BulkWindow;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -64,12 +65,14 @@
 	@Nested
 	class Links {
 
-		@Test
-		void aNarrowLinkIsNotFilledWithChunks() {
-			LoaderSimulation fleet = new LoaderSimulation(14, 3).narrow(4, 6);
+		/** Guards against requests that reach an engine after their callers have left. */
+		@ParameterizedTest
+		@CsvSource({ "14,3,1", "14,3,3", "14,3,6", "42,4,6" })
+		void requestsWaitForHalfASecondAtMostBehindChunks(int members, int domains, double times) {
+			LoaderSimulation fleet = new LoaderSimulation(members, domains).narrow(4, times);
 			fleet.run(LIMIT_MS);
 			assertThat(fleet.done(), is(true));
-			assertThat("wait of live requests in ms", fleet.worstQueueMs(), lessThanOrEqualTo(1_000.0));
+			assertThat("wait of live requests in ms", fleet.worstQueueMs(), lessThanOrEqualTo(500.0));
 		}
 
 	}
@@ -113,38 +116,38 @@
 
 		@Test
 		void aMemberAloneAsksTheOriginForAll() {
-			ScheduledFetch fetch = new ScheduledFetch(SELF, 4);
-			List<FetchStep> steps = fetch.next(0);
+			ScheduledFetch fetch = new ScheduledFetch(SELF, 4, new BulkWindow());
+			List<FetchStep> steps = fetch.next(0, 0);
 			assertThat(steps.size(), is(ScheduledFetch.AT_ORIGIN));
 			assertThat(steps.stream().map(FetchStep::source).map((source) -> source.isEmpty()).toList(),
 					everyItem(is(true)));
-			steps.forEach((step) -> fetch.ended(step, step.chunks().get(0)));
-			fetch.next(0).forEach((step) -> fetch.ended(step, step.chunks().get(0)));
+			steps.forEach((step) -> fetch.ended(step, 0, 0));
+			fetch.next(0, 0).forEach((step) -> fetch.ended(step, 0, 0));
 			assertThat(fetch.complete(), is(true));
 		}
 
 		@Test
 		void anOriginThatFailedIsAskedAgainAfterAPause() {
-			ScheduledFetch fetch = new ScheduledFetch(SELF, 1);
-			FetchStep step = fetch.next(0).get(0);
+			ScheduledFetch fetch = new ScheduledFetch(SELF, 1, new BulkWindow());
+			FetchStep step = fetch.next(0, 0).get(0);
 			fetch.failed(step, FetchFailure.UNREACHABLE, 0);
-			assertThat(fetch.next((ScheduledFetch.ORIGIN_PAUSE_MS - 1) * LoaderSimulation.MS).size(), is(0));
-			assertThat(fetch.next(ScheduledFetch.ORIGIN_PAUSE_MS * LoaderSimulation.MS).size(), is(1));
+			assertThat(fetch.next(0, (ScheduledFetch.ORIGIN_PAUSE_MS - 1) * LoaderSimulation.MS).size(), is(0));
+			assertThat(fetch.next(0, ScheduledFetch.ORIGIN_PAUSE_MS * LoaderSimulation.MS).size(), is(1));
 		}
 
 		@Test
 		void aMemberThatCanNotBeReachedIsPassedOver() {
 			Peer other = new Peer("10.0.0.2", "d", "r");
-			ScheduledFetch fetch = new ScheduledFetch(SELF, 2);
+			ScheduledFetch fetch = new ScheduledFetch(SELF, 2, new BulkWindow());
 			fetch.members(List.of(other), List.of());
-			FetchStep step = fetch.next(0)
+			FetchStep step = fetch.next(0, 0)
 				.stream()
 				.filter((each) -> each.source().isPresent())
 				.findFirst()
 				.orElseThrow();
 			assertThat(step.source().orElseThrow(), is(other));
 			fetch.failed(step, FetchFailure.UNREACHABLE, 0);
-			assertThat(fetch.next(0).get(0).source().isEmpty(), is(true));
+			assertThat(fetch.next(0, 0).get(0).source().isEmpty(), is(true));
 		}
 
 	}
--- a/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
+++ b/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
@@ -30,32 +30,43 @@
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import org.baobabknot.distribution.FetchFailure;
 import org.baobabknot.distribution.Pacer;
+import org.baobabknot.link.BulkWindow;
 
 /**
- * Serves chunks of weights to other loaders. A request names the chunks any one of which
- * is wanted and waits for a while if none of them has arrived yet. Chunks are sent one
- * after the other below the rate of the machine's link, so that the events of the engine
- * on the same link don't queue behind them; those for other failure domains go first,
- * because a whole domain waits for them.
+ * Serves chunks of weights to other loaders. A question names the chunks any of which are
+ * wanted, waits for a while if none of them has arrived yet, and is answered with their
+ * numbers. Chunks are sent one after the other below the rate of the machine's link, and
+ * no faster than probes show that they leave it, so that the events of the engine on the
+ * same link don't queue behind them; those for other failure domains go first, because a
+ * whole domain waits for them.
  */
 final class ChunkServer {
 
+	/** Path of the question which chunks are held. */
+	static final String HELD = "/held";
+
 	/** Path of a chunk. */
 	static final String CHUNK = "/chunk";
 
-	/** Header with the number of the chunk in an answer. */
-	static final String NUMBER = "Chunk-Number";
+	/** Header with the numbers of the chunks that are held. */
+	static final String NUMBERS = "Chunk-Numbers";
 
 	/** Header with the time for which an answer was held back here, in ms. */
 	static final String DELAY_MS = "Chunk-Delay-Ms";
 
-	/** Longest wait of a request for chunks that have not arrived. */
+	/** Longest wait of a question for chunks that have not arrived. */
 	static final long WAIT_MS = 1_200;
 
 	private static final int IDLE_SECONDS = 10;
 
 	private static final int LARGEST_REQUEST = 4 << 10;
 
+	/** Time between two looks whether chunks have left the link. */
+	private static final long LOOK_MS = 20;
+
+	/** Time after which a chunk is taken for sent although no probe shows it. */
+	private static final long CONFIRM_TIMEOUT_MS = 1_000;
+
 	/** Part of the link for chunks. */
 	private static final double BULK_SHARE = 0.9;
 
@@ -75,6 +86,12 @@
 
 	private final String domain;
 
+	private final LoadSender link;
+
+	private final BulkWindow window = new BulkWindow();
+
+	private final ArrayDeque<Long> unconfirmed = new ArrayDeque<>();
+
 	private Pacer pacer;
 
 	private int pacedBytes;
@@ -86,14 +103,16 @@
 	 * @param group its event loop
 	 * @param domain failure domain of this process
 	 * @param linkBytesPerSecond rate of the machine's link
+	 * @param link knows the delay of the link
 	 * @param versions finds a version of a model
 	 */
-	ChunkServer(EventLoopGroup group, String domain, long linkBytesPerSecond,
+	ChunkServer(EventLoopGroup group, String domain, long linkBytesPerSecond, LoadSender link,
 			BiFunction<String, Long, Optional<VersionFetch>> versions) {
 		this.group = group;
 		this.loop = group.next();
 		this.domain = domain;
 		this.linkBytesPerSecond = linkBytesPerSecond;
+		this.link = link;
 		this.versions = versions;
 		this.pacer = new Pacer(linkBytesPerSecond, BULK_SHARE, 1, System.nanoTime());
 	}
@@ -125,7 +144,15 @@
 	}
 
 	/**
-	 * A chunk has arrived: serves the requests that wait for it.
+	 * Tells whether chunks are being sent.
+	 * @return whether the delay of the link matters now
+	 */
+	boolean sending() {
+		return this.sending;
+	}
+
+	/**
+	 * A chunk has arrived: answers the questions that wait for it.
 	 * @param model the model
 	 * @param version the version
 	 * @param index number of the chunk
@@ -134,14 +161,15 @@
 		for (Request request : List.copyOf(this.waiting)) {
 			if (request.version() == version && request.model().equals(model) && request.chunks().contains(index)) {
 				this.waiting.remove(request);
-				enqueue(request);
+				offer(request, List.of(index));
 			}
 		}
 	}
 
-	private void request(Request request) {
-		if (held(request).isPresent()) {
-			enqueue(request);
+	private void question(Request request) {
+		List<Integer> held = held(request);
+		if (!held.isEmpty()) {
+			offer(request, held);
 			return;
 		}
 		this.waiting.add(request);
@@ -152,18 +180,26 @@
 		}, WAIT_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private Optional<Integer> held(Request request) {
+	private List<Integer> held(Request request) {
 		return this.versions.apply(request.model(), request.version())
 			.map(VersionFetch::chunks)
-			.flatMap((chunks) -> request.chunks().stream().filter(chunks::holds).findFirst());
+			.map((chunks) -> request.chunks().stream().filter(chunks::holds).toList())
+			.orElse(List.of());
+	}
+
+	private static void offer(Request request, List<Integer> held) {
+		FullHttpResponse response = response(HttpResponseStatus.OK, new byte[0]);
+		response.headers().set(NUMBERS, ChunkNumbers.encode(held));
+		request.context().writeAndFlush(response);
 	}
 
 	private void missing(Request request) {
 		boolean supplied = this.versions.apply(request.model(), request.version())
 			.map((fetch) -> fetch.missing() != FetchFailure.NOT_SUPPLIED)
 			.orElse(true);
-		answer(request, (supplied) ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.FAILED_DEPENDENCY, -1,
-				new byte[0]);
+		request.context()
+			.writeAndFlush(response((supplied) ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.FAILED_DEPENDENCY,
+					new byte[0]));
 	}
 
 	private void enqueue(Request request) {
@@ -174,29 +210,54 @@
 	}
 
 	private void send() {
+		confirm();
 		Request next = (this.toOtherDomains.isEmpty()) ? this.toOwnDomain.peek() : this.toOtherDomains.peek();
 		this.sending = next != null;
 		if (next == null) {
 			return;
 		}
-		Optional<Integer> found = held(next);
+		List<Integer> found = held(next);
 		if (found.isEmpty() || !next.context().channel().isActive()) {
 			remove(next);
 			missing(next);
 			this.loop.execute(this::send);
 			return;
 		}
-		byte[] bytes = this.versions.apply(next.model(), next.version()).orElseThrow().chunks().chunk(found.get());
+		byte[] bytes = this.versions.apply(next.model(), next.version()).orElseThrow().chunks().chunk(found.get(0));
+		if (!this.window.tryStart(this.link.delayMs(), System.nanoTime())) {
+			this.loop.schedule(this::send, LOOK_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		long wait = pause(bytes.length);
 		if (wait > 0) {
+			this.window.refused();
 			this.loop.schedule(this::send, wait, TimeUnit.NANOSECONDS);
 			return;
 		}
+		this.unconfirmed.add(System.nanoTime());
 		remove(next);
-		answer(next, HttpResponseStatus.OK, found.get(), bytes);
+		answer(next, bytes);
 		this.loop.execute(this::send);
 	}
 
+	private void confirm() {
+		long now = System.nanoTime();
+		long confirmed = this.link.confirmedNanos();
+		while (!this.unconfirmed.isEmpty()) {
+			long sent = this.unconfirmed.element();
+			if (sent < confirmed) {
+				this.window.arrived(TimeUnit.NANOSECONDS.toMillis(now - sent), now);
+			}
+			else if (now - sent > TimeUnit.MILLISECONDS.toNanos(CONFIRM_TIMEOUT_MS)) {
+				this.window.lost(now);
+			}
+			else {
+				return;
+			}
+			this.unconfirmed.remove();
+		}
+	}
+
 	private void remove(Request request) {
 		((request.otherDomain()) ? this.toOtherDomains : this.toOwnDomain).remove(request);
 	}
@@ -209,18 +270,20 @@
 		return this.pacer.tryTake(bytes, System.nanoTime());
 	}
 
-	private static void answer(Request request, HttpResponseStatus status, int number, byte[] body) {
+	private static void answer(Request request, byte[] body) {
+		FullHttpResponse response = response(HttpResponseStatus.OK, body);
+		response.headers().set(DELAY_MS, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.arrivedNanos()));
+		request.context().writeAndFlush(response);
+	}
+
+	private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.wrappedBuffer(body));
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		if (number >= 0) {
-			response.headers().set(NUMBER, number);
-			response.headers().set(DELAY_MS, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - request.arrivedNanos()));
-		}
-		request.context().writeAndFlush(response);
+		return response;
 	}
 
-	/** A request for any one of some chunks. */
+	/** A question for some chunks, or a request for the bytes of one. */
 	private record Request(ChannelHandlerContext context, String model, long version, List<Integer> chunks,
 			boolean otherDomain, long arrivedNanos) {
 	}
@@ -233,9 +296,15 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
 			QueryStringDecoder query = new QueryStringDecoder(message.uri());
-			request(new Request(context, parameter(query, "model"), ChunkNumbers.number(parameter(query, "version")),
-					ChunkNumbers.decode(parameter(query, "chunks")),
-					!parameter(query, "domain").equals(ChunkServer.this.domain), System.nanoTime()));
+			Request request = new Request(context, parameter(query, "model"),
+					ChunkNumbers.number(parameter(query, "version")), ChunkNumbers.decode(parameter(query, "chunks")),
+					!parameter(query, "domain").equals(ChunkServer.this.domain), System.nanoTime());
+			if (query.path().equals(HELD)) {
+				question(request);
+			}
+			else {
+				enqueue(request);
+			}
 		}
 
 		private String parameter(QueryStringDecoder query, String name) {
--- a/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
+++ b/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
@@ -43,16 +43,19 @@
 
 	private final ChunkServer server;
 
+	private final LoadSender link;
+
 	private final Supplier<@Nullable OriginClient> origin;
 
 	private final Map<String, HttpClient> peers = new HashMap<>();
 
-	HttpSources(FleetSettings settings, EventLoop loop, EngineClient engine, ChunkServer server,
+	HttpSources(FleetSettings settings, EventLoop loop, EngineClient engine, ChunkServer server, LoadSender link,
 			Supplier<@Nullable OriginClient> origin) {
 		this.settings = settings;
 		this.loop = loop;
 		this.engine = engine;
 		this.server = server;
+		this.link = link;
 		this.origin = origin;
 	}
 
@@ -64,38 +67,57 @@
 	}
 
 	@Override
-	public CompletableFuture<VersionFetch.PeerAnswer> peer(String host, String model, long version,
-			List<Integer> indices) {
-		QueryStringEncoder path = new QueryStringEncoder(ChunkServer.CHUNK);
-		path.addParam("model", model);
-		path.addParam("version", Long.toString(version));
-		path.addParam("chunks", ChunkNumbers.encode(indices));
-		path.addParam("domain", this.settings.domain());
+	public CompletableFuture<VersionFetch.Offer> held(String host, String model, long version, List<Integer> indices) {
+		return peer(host).send(call(ChunkServer.HELD, model, version, indices), new byte[0]).thenApply((result) -> {
+			if (result instanceof HttpResult.Answered answered && answered.head().status() == OK) {
+				return new VersionFetch.Offer(
+						ChunkNumbers.decode(answered.head().header(ChunkServer.NUMBERS).orElse("")),
+						FetchFailure.NOT_HELD);
+			}
+			return new VersionFetch.Offer(List.of(), failure(result));
+		});
+	}
+
+	@Override
+	public CompletableFuture<VersionFetch.PeerAnswer> chunk(String host, String model, long version, int index) {
 		long asked = System.nanoTime();
-		return peer(host).send(HttpCall.of("GET", path.toString(), PEER_TIMEOUT), new byte[0])
-			.thenApply((result) -> decode(result,
-					(System.nanoTime() - asked) / (double) TimeUnit.MILLISECONDS.toNanos(1)));
+		return peer(host).send(call(ChunkServer.CHUNK, model, version, List.of(index)), new byte[0])
+			.thenApply((result) -> {
+				if (!(result instanceof HttpResult.Answered answered) || answered.head().status() != OK) {
+					return VersionFetch.PeerAnswer.missing(failure(result));
+				}
+				double tookMs = (System.nanoTime() - asked) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+				int delayMs = ChunkNumbers.number(answered.head().header(ChunkServer.DELAY_MS).orElse("0"));
+				return new VersionFetch.PeerAnswer(answered.body(), FetchFailure.NOT_HELD,
+						Math.max(0, tookMs - delayMs));
+			});
 	}
 
-	private static VersionFetch.PeerAnswer decode(HttpResult result, double tookMs) {
+	@Override
+	public double linkDelayMs() {
+		return this.link.delayMs();
+	}
+
+	private HttpCall call(String path, String model, long version, List<Integer> indices) {
+		QueryStringEncoder query = new QueryStringEncoder(path);
+		query.addParam("model", model);
+		query.addParam("version", Long.toString(version));
+		query.addParam("chunks", ChunkNumbers.encode(indices));
+		query.addParam("domain", this.settings.domain());
+		return HttpCall.of("GET", query.toString(), PEER_TIMEOUT);
+	}
+
+	private static FetchFailure failure(HttpResult result) {
 		if (!(result instanceof HttpResult.Answered answered)) {
-			return VersionFetch.PeerAnswer.missing(FetchFailure.UNREACHABLE);
+			return FetchFailure.UNREACHABLE;
 		}
 		return switch (answered.head().status()) {
-			case OK -> chunk(answered, tookMs);
-			case NOT_FOUND -> VersionFetch.PeerAnswer.missing(FetchFailure.NOT_HELD);
-			case NOT_SUPPLIED -> VersionFetch.PeerAnswer.missing(FetchFailure.NOT_SUPPLIED);
-			default -> VersionFetch.PeerAnswer.missing(FetchFailure.UNREACHABLE);
+			case NOT_FOUND -> FetchFailure.NOT_HELD;
+			case NOT_SUPPLIED -> FetchFailure.NOT_SUPPLIED;
+			default -> FetchFailure.UNREACHABLE;
 		};
 	}
 
-	private static VersionFetch.PeerAnswer chunk(HttpResult.Answered answered, double tookMs) {
-		int number = ChunkNumbers.number(answered.head().header(ChunkServer.NUMBER).orElse(""));
-		int delayMs = ChunkNumbers.number(answered.head().header(ChunkServer.DELAY_MS).orElse("0"));
-		return new VersionFetch.PeerAnswer(number, answered.body(), FetchFailure.NOT_HELD,
-				Math.max(0, tookMs - delayMs));
-	}
-
 	@Override
 	public CompletableFuture<Boolean> stage(String model, int index, byte[] bytes) {
 		return this.engine.stage(model, index, bytes);
--- a/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
+++ b/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
@@ -136,6 +136,14 @@
 		return this.delay.delayMs(System.nanoTime());
 	}
 
+	/**
+	 * Returns when the newest probe that came back was sent.
+	 * @return monotonic time; the present one as long as there is nobody to probe
+	 */
+	long confirmedNanos() {
+		return (this.probed == 0) ? System.nanoTime() : this.delay.confirmedNanos();
+	}
+
 	private static DatagramPacket datagram(byte[] bytes, EntryRecord entry) {
 		return new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(entry.host(), entry.port()));
 	}
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -23,6 +23,7 @@
 import org.baobabknot.fleet.ModelLayout;
 import org.baobabknot.fleet.ServiceDefinition;
 import org.baobabknot.fleet.TargetRecord;
+import org.baobabknot.link.BulkWindow;
 import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.observe.OperatorPort;
 import org.baobabknot.observe.StoreCalls;
@@ -75,6 +76,8 @@
 
 	private final LoadSender sender;
 
+	private final BulkWindow downloads = new BulkWindow();
+
 	private final OperatorPort operator;
 
 	private final Counter orders;
@@ -125,11 +128,12 @@
 				this::changed);
 		FleetSettings.HostPort address = settings.engine().orElseThrow().address();
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
-		this.server = new ChunkServer(this.loop, settings.domain(), settings.resources().linkBytesPerSecond(),
-				this::version);
 		this.sender = new LoadSender(address.host() + ":" + address.port(), settings.region());
+		this.server = new ChunkServer(this.loop, settings.domain(), settings.resources().linkBytesPerSecond(),
+				this.sender, this::version);
 		this.manifests = new Manifests(this.loop);
-		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.manifests::origin);
+		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.sender,
+				this.manifests::origin);
 		this.orders = Counter.builder()
 			.name("baobabknot_load_orders")
 			.help("orders to load weights by the status of their answers")
@@ -165,7 +169,7 @@
 		List.copyOf(this.ahead.values()).forEach((fetch) -> step(service.get(), fetch));
 		this.ticks++;
 		boolean rests = this.resting && this.ticks % TICKS_AT_REST != 0;
-		if (!rests) {
+		if (!rests || this.server.sending()) {
 			this.sender.probe(this.view.entries());
 			logLink();
 		}
@@ -448,7 +452,8 @@
 
 	private VersionFetch fetch(String model, long version, Manifest manifest, boolean staging) {
 		return new VersionFetch(this.sources, model, version, manifest,
-				new Peer(this.settings.host(), this.settings.domain(), this.settings.region()), staging);
+				new Peer(this.settings.host(), this.settings.domain(), this.settings.region()), this.downloads,
+				staging);
 	}
 
 	// After a restart of this process the engine may still have chunks staged.
--- a/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
+++ b/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
@@ -11,6 +11,7 @@
 import org.baobabknot.distribution.FetchStep;
 import org.baobabknot.distribution.Peer;
 import org.baobabknot.distribution.ScheduledFetch;
+import org.baobabknot.link.BulkWindow;
 import org.baobabknot.weights.ChunkSet;
 import org.baobabknot.weights.Manifest;
 import org.baobabknot.weights.StoreResult;
@@ -49,13 +50,14 @@
 
 	private boolean staging;
 
-	VersionFetch(Sources sources, String model, long version, Manifest manifest, Peer self, boolean stagesAtOnce) {
+	VersionFetch(Sources sources, String model, long version, Manifest manifest, Peer self, BulkWindow window,
+			boolean stagesAtOnce) {
 		this.sources = sources;
 		this.model = model;
 		this.version = version;
 		this.staging = stagesAtOnce;
 		this.chunks = new ChunkSet(manifest);
-		this.plan = new ScheduledFetch(self, manifest.chunks());
+		this.plan = new ScheduledFetch(self, manifest.chunks(), window);
 	}
 
 	String model() {
@@ -185,46 +187,63 @@
 	}
 
 	private void start(long now) {
-		for (FetchStep step : this.plan.next(now)) {
-			if (step.source().isPresent()) {
-				this.sources.peer(step.source().get().instance(), this.model, this.version, step.chunks())
-					.thenAccept((answer) -> arrived(step, answer));
-			}
-			else {
+		for (FetchStep step : this.plan.next(this.sources.linkDelayMs(), now)) {
+			int index = step.chunks().get(0);
+			if (step.source().isEmpty()) {
 				this.fromOrigin++;
-				int index = step.chunks().get(0);
 				this.sources.origin(this.model, this.version, index)
 					.thenAccept((bytes) -> arrived(step,
-							new PeerAnswer(index, bytes.orElse(new byte[0]), FetchFailure.UNREACHABLE, 0)));
+							new PeerAnswer(bytes.orElse(new byte[0]), FetchFailure.UNREACHABLE, 0)));
+			}
+			else if (step.transfer()) {
+				this.sources.chunk(step.source().get().instance(), this.model, this.version, index)
+					.thenAccept((answer) -> arrived(step, answer));
+			}
+			else {
+				this.sources.held(step.source().get().instance(), this.model, this.version, step.chunks())
+					.thenAccept((offer) -> offered(step, offer));
 			}
 		}
 	}
 
-	private void arrived(FetchStep step, PeerAnswer answer) {
+	private void offered(FetchStep step, Offer offer) {
 		long now = System.nanoTime();
-		if (step.source().isPresent() && answer.bytes().length > 0) {
-			this.plan.transferred(answer.transferMs(), now);
-		}
-		if (answer.bytes().length == 0 || !step.chunks().contains(answer.index())) {
+		List<Integer> asked = offer.held().stream().filter(step.chunks()::contains).toList();
+		if (asked.isEmpty()) {
 			// The next step follows with the next tick, so that a source that fails at
 			// once is not asked as fast as it fails.
+			this.plan.failed(step, offer.failure(), now);
+			return;
+		}
+		this.plan.offered(step, asked);
+		startMore(now);
+	}
+
+	private void startMore(long now) {
+		if (!this.superseded && !this.cancelled) {
+			start(now);
+		}
+	}
+
+	private void arrived(FetchStep step, PeerAnswer answer) {
+		long now = System.nanoTime();
+		int index = step.chunks().get(0);
+		if (answer.bytes().length == 0) {
 			this.plan.failed(step, answer.failure(), now);
 		}
 		else if (this.cancelled) {
-			this.plan.ended(step, answer.index());
+			this.plan.ended(step, answer.transferMs(), now);
 		}
-		else if (this.chunks.put(answer.index(), answer.bytes()) instanceof StoreResult.Corrupt) {
+		else if (this.chunks.put(index, answer.bytes()) instanceof StoreResult.Corrupt) {
 			this.corrupt++;
-			this.plan.corrupt(step, answer.index());
+			this.plan.corrupt(step, answer.transferMs(), now);
 		}
 		else {
-			this.plan.ended(step, answer.index());
+			this.plan.ended(step, answer.transferMs(), now);
 			this.completeNanos = now;
-			stage(answer.index());
-			this.sources.stored(this, answer.index());
-			if (!this.superseded) {
-				start(now);
-			}
+			stage(index);
+			this.sources.stored(this, index);
+			startMore(now);
 		}
 	}
 
@@ -262,15 +281,30 @@
 		CompletableFuture<Optional<byte[]>> origin(String model, long version, int index);
 
 		/**
-		 * Reads any one of some chunks from another loader, which answers when it has
-		 * one.
+		 * Asks another loader which of some chunks it holds. It answers when it has one.
 		 * @param host address of the loader
 		 * @param model the model
 		 * @param version the version
 		 * @param indices numbers of the chunks
 		 * @return the answer
 		 */
-		CompletableFuture<PeerAnswer> peer(String host, String model, long version, List<Integer> indices);
+		CompletableFuture<Offer> held(String host, String model, long version, List<Integer> indices);
+
+		/**
+		 * Reads a chunk from another loader.
+		 * @param host address of the loader
+		 * @param model the model
+		 * @param version the version
+		 * @param index number of the chunk
+		 * @return the answer
+		 */
+		CompletableFuture<PeerAnswer> chunk(String host, String model, long version, int index);
+
+		/**
+		 * Returns for how long bytes wait at the link of this machine.
+		 * @return time in ms
+		 */
+		double linkDelayMs();
 
 		/**
 		 * Stages a chunk at the engine.
@@ -290,18 +324,26 @@
 
 	}
 
+	/**
+	 * Answer of another loader to a question.
+	 *
+	 * @param held numbers of the chunks that it holds, empty if there are none
+	 * @param failure why there are none
+	 */
+	record Offer(List<Integer> held, FetchFailure failure) {
+	}
+
 	/**
 	 * Answer of another loader or the origin.
 	 *
-	 * @param index number of the chunk
 	 * @param bytes the chunk, empty if there is none
 	 * @param failure why there is none
-	 * @param transferMs time that the chunk was on the link, in ms
+	 * @param transferMs time that the chunk was on its way, in ms
 	 */
-	record PeerAnswer(int index, byte[] bytes, FetchFailure failure, double transferMs) {
+	record PeerAnswer(byte[] bytes, FetchFailure failure, double transferMs) {
 
 		static PeerAnswer missing(FetchFailure failure) {
-			return new PeerAnswer(-1, new byte[0], failure, 0);
+			return new PeerAnswer(new byte[0], failure, 0);
 		}
 
 	}
