Send nothing to targets behind a filled link, and count what is on its way

What callers saw: requests ran at an engine up to 3.8 s after they were sent, after their callers had left (GONE), while a gateway saw the engine idle (load 0) and sent it more.

Cause: what is stuck on its way does not run, so the load reported by a loader is low; reports that don't arrive left the target with the fading load of its last answers; each of 18 gateways had to lose a request of its own to learn of the path, and forgot it within 4 s.

Change: a link delay above 250 ms excludes a target while others have a shorter one, above 500 ms always; overdue reports count as lag until the loader is taken for gone; a request without a sign of receipt for 400 ms keeps further ones away; requests on their way count beside those that a report has seen.

--- a/core/src/main/java/org/baobabknot/placement/Placement.java
+++ b/core/src/main/java/org/baobabknot/placement/Placement.java
@@ -29,6 +29,24 @@
 	 */
 	private static final double MOST_LAG_MS = 800;
 
+	/**
+	 * Delay of a target's link above which it gets nothing while others have a shorter
+	 * one, in ms.
+	 */
+	private static final double MOST_LINK_DELAY_MS = 250;
+
+	/**
+	 * Delay of a target's link above which a request is refused, in ms: it may outlive
+	 * its caller by half a second, and a caller may leave as soon as it is sent.
+	 */
+	private static final double HOPELESS_LINK_DELAY_MS = 500;
+
+	/**
+	 * Time after which a target should have shown that it received a request, in ms; what
+	 * is queued on the way to it can't be taken back.
+	 */
+	private static final double MOST_UNCONFIRMED_MS = 400;
+
 	/**
 	 * Time for which the requests of other processes at a target are not seen, in ms: the
 	 * loaders look at their engines every 150 ms and tell changes of two requests.
@@ -64,7 +82,12 @@
 	 */
 	public PlacementResult choose(List<Candidate> all, Work work, double coldRatePerSecond, int senders,
 			long nowNanos) {
-		List<Candidate> candidates = prompt(all, nowNanos);
+		List<Candidate> reachable = reachable(all, nowNanos);
+		if (reachable.isEmpty() && !all.isEmpty()) {
+			return new PlacementResult.Busy(
+					all.stream().mapToDouble((candidate) -> candidate.load().linkDelayMs(nowNanos)).min().orElse(0));
+		}
+		List<Candidate> candidates = prompt(reachable, nowNanos);
 		double share = placesShare(candidates, work, nowNanos);
 		if (share < 1 && this.random.nextDouble() >= share) {
 			return new PlacementResult.Busy(leastWaitMs(candidates, work, nowNanos));
@@ -72,11 +95,21 @@
 		return best(candidates, work, coldRatePerSecond, senders, nowNanos);
 	}
 
+	private static List<Candidate> reachable(List<Candidate> all, long nowNanos) {
+		List<Candidate> near = within(all, MOST_LINK_DELAY_MS, nowNanos);
+		return (near.isEmpty()) ? within(all, HOPELESS_LINK_DELAY_MS, nowNanos) : near;
+	}
+
+	private static List<Candidate> within(List<Candidate> all, double delayMs, long nowNanos) {
+		return all.stream().filter((candidate) -> candidate.load().linkDelayMs(nowNanos) <= delayMs).toList();
+	}
+
 	// What is sent over a link that lags may arrive after its caller has left. When all
 	// lag it is this process that stood still.
 	private static List<Candidate> prompt(List<Candidate> all, long nowNanos) {
 		List<Candidate> prompt = new ArrayList<>(all);
-		prompt.removeIf((candidate) -> candidate.load().lagMs(nowNanos) > MOST_LAG_MS);
+		prompt.removeIf((candidate) -> candidate.load().lagMs(nowNanos) > MOST_LAG_MS
+				|| candidate.load().unconfirmedMs(nowNanos) > MOST_UNCONFIRMED_MS);
 		return (prompt.isEmpty()) ? all : prompt;
 	}
 
@@ -118,7 +151,7 @@
 			}
 			double wait = waitMs(candidate, work, nowNanos);
 			double first = wait + work.firstMs() * candidate.load().slowness(nowNanos)
-					+ candidate.load().lagMs(nowNanos);
+					+ Math.max(candidate.load().lagMs(nowNanos), candidate.load().linkDelayMs(nowNanos));
 			leastWait = Math.min(leastWait, wait);
 			boolean room = candidate.load().total(nowNanos) < candidate.target().slots() + SPARE_REQUESTS;
 			if (!room && first > work.objectiveMs() * OBJECTIVE_SHARE) {
--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -31,6 +31,23 @@
 	/** Time in which it then fades to 1/e. */
 	private static final double REPORT_FADE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * Time without a report after which its target lags: the loaders send one every 0.8 s
+	 * at least.
+	 */
+	private static final double REPORT_DUE_MS = 1_000;
+
+	/**
+	 * Time without a report after which the process beside the target is taken for gone,
+	 * which says nothing about the target.
+	 */
+	private static final double REPORTER_GONE_MS = 4_000;
+
+	/** Age of what a report tells when it is sent, in ms. */
+	private static final double REPORT_AGE_MS = 20;
+
+	private static final double MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
+
 	private final ColdRate coldRate = new ColdRate();
 
 	private final Map<Object, Expected> unanswered = new LinkedHashMap<>();
@@ -53,6 +70,8 @@
 
 	private double linkDelayMs;
 
+	private long confirmedNanos = Long.MIN_VALUE;
+
 	private boolean everObserved;
 
 	private boolean closed;
@@ -107,6 +126,7 @@
 	public void answered(Object request, long nowNanos) {
 		Expected expected = this.unanswered.remove(request);
 		if (expected != null) {
+			this.confirmedNanos = Math.max(this.confirmedNanos, expected.sentNanos());
 			double beyond = Math.max(0, expected.lateMs(nowNanos));
 			this.lagMs = faded(this.lagMs, this.lagNanos, nowNanos) * (1 - NEWEST) + beyond * NEWEST;
 			this.lagNanos = nowNanos;
@@ -135,13 +155,34 @@
 	 * @return time in ms
 	 */
 	public double lagMs(long nowNanos) {
-		double seen = faded(this.lagMs, this.lagNanos, nowNanos);
+		double seen = Math.max(faded(this.lagMs, this.lagNanos, nowNanos), overdueMs(nowNanos));
 		if (this.unanswered.isEmpty()) {
 			return seen;
 		}
 		return Math.max(seen, this.unanswered.values().iterator().next().lateMs(nowNanos));
 	}
 
+	private double overdueMs(long nowNanos) {
+		double age = (nowNanos - this.observedNanos) / MILLISECOND;
+		return (this.everObserved && age < REPORTER_GONE_MS) ? Math.max(0, age - REPORT_DUE_MS) : 0;
+	}
+
+	/**
+	 * Returns for how long a request of this process has been on its way without a sign
+	 * that the target received it: an answer to a request that was sent later, or a
+	 * report of load that must have seen it.
+	 * @param nowNanos monotonic time
+	 * @return time in ms, 0 if there is none
+	 */
+	public double unconfirmedMs(long nowNanos) {
+		return this.unanswered.values()
+			.stream()
+			.filter((expected) -> expected.sentNanos() > this.confirmedNanos)
+			.findFirst()
+			.map((expected) -> (nowNanos - expected.sentNanos()) / MILLISECOND)
+			.orElse(0.0);
+	}
+
 	private static double faded(double value, long sinceNanos, long nowNanos) {
 		return value * Math.exp(-Math.max(0, nowNanos - sinceNanos) / FADE_NANOS);
 	}
@@ -182,7 +223,13 @@
 	public void observed(int requests, boolean accepts, double delayMs, long nowNanos) {
 		this.observed = requests;
 		this.linkDelayMs = delayMs;
-		this.inFlightAtObservation = this.inFlight;
+		long seenNanos = nowNanos - (long) ((delayMs + REPORT_AGE_MS) * MILLISECOND);
+		this.confirmedNanos = Math.max(this.confirmedNanos, seenNanos);
+		long onTheWay = this.unanswered.values()
+			.stream()
+			.filter((expected) -> expected.sentNanos() > this.confirmedNanos)
+			.count();
+		this.inFlightAtObservation = Math.max(0, this.inFlight - (int) onTheWay);
 		this.observedNanos = nowNanos;
 		this.everObserved = true;
 		this.closed = !accepts;
--- /dev/null
+++ b/core/src/test/java/org/baobabknot/placement/SlowPathTests.java
@@ -0,0 +1,139 @@
+package org.baobabknot.placement;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.fleet.TargetRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+/**
+ * Tests of targets behind a path that is slow. What is stuck on its way does not run, so
+ * such a target reports that it is idle.
+ */
+class SlowPathTests {
+
+	private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
+
+	private final Placement placement = new Placement(PlacementSettings.standard(), new SplittableRandom(1));
+
+	private static Candidate candidate(String id) {
+		return new Candidate(new TargetRecord(id, "s", "127.0.0.1", 1, "d", 16, false, 0, 0, List.of()),
+				new TargetLoad(), false, true, true);
+	}
+
+	private PlacementResult choose(long nowMs, Candidate... candidates) {
+		return this.placement.choose(List.of(candidates), new Work(80, 400, 400, 4_000, 0), 0, 1, nowMs * MS);
+	}
+
+	private String chosen(long nowMs, Candidate... candidates) {
+		return ((PlacementResult.Chosen) choose(nowMs, candidates)).candidate().target().id();
+	}
+
+	@Nested
+	class FilledLinks {
+
+		/** Guards against requests that reach a target after their callers have left. */
+		@Test
+		void anIdleTargetBehindAFilledLinkGetsNothing() {
+			Candidate filled = candidate("filled");
+			filled.load().observed(0, true, 700, 0);
+			Candidate busy = candidate("busy");
+			busy.load().observed(16, true, 2, 0);
+			assertThat(chosen(10, filled, busy), is("busy"));
+			assertThat("a request that can't arrive in time is refused", choose(10, filled),
+					instanceOf(PlacementResult.Busy.class));
+		}
+
+		@Test
+		void aLinkThatIsFreeAgainIsUsedAgain() {
+			Candidate filled = candidate("filled");
+			filled.load().observed(0, true, 700, 0);
+			filled.load().observed(0, true, 3, 300 * MS);
+			assertThat(chosen(310, filled), is("filled"));
+		}
+
+		@Test
+		void aSomewhatSlowLinkIsUsedWhenThereIsNoOther() {
+			Candidate slow = candidate("slow");
+			slow.load().observed(0, true, 350, 0);
+			assertThat(chosen(10, slow), is("slow"));
+		}
+
+	}
+
+	@Nested
+	class Reports {
+
+		@Test
+		void aTargetWhoseReportsAreOverdueLags() {
+			Candidate silent = candidate("silent");
+			silent.load().observed(0, true, 0, 0);
+			Candidate busy = candidate("busy");
+			busy.load().observed(16, true, 2, 1_950 * MS);
+			assertThat(silent.load().lagMs(900 * MS), is(0.0));
+			assertThat(chosen(2_000, silent, busy), is("busy"));
+			assertThat("its loader may be gone", chosen(2_000, silent), is("silent"));
+			assertThat(silent.load().lagMs(20_000 * MS), is(0.0));
+		}
+
+		@Test
+		void requestsOnTheirWayCountAlthoughAReportDoesNotShowThem() {
+			TargetLoad load = new TargetLoad();
+			for (int count = 0; count < 5; count++) {
+				load.sent(count * MS);
+				load.expects(new Object(), 80, count * MS);
+			}
+			load.observed(3, true, 400, 100 * MS);
+			assertThat(load.total(101 * MS), is(8.0));
+		}
+
+		@Test
+		void requestsThatArrivedBeforeAReportCountOnce() {
+			TargetLoad load = new TargetLoad();
+			for (int count = 0; count < 5; count++) {
+				load.sent(count * MS);
+				load.expects(new Object(), 80, count * MS);
+			}
+			load.observed(5, true, 2, 100 * MS);
+			assertThat(load.total(101 * MS), is(5.0));
+		}
+
+	}
+
+	@Nested
+	class SignsOfReceipt {
+
+		/** Guards against a queue of requests that nobody can take back. */
+		@Test
+		void aTargetThatGivesNoSignOfReceiptGetsNoFurtherRequests() {
+			Candidate stuck = candidate("stuck");
+			stuck.load().sent(0);
+			stuck.load().expects(new Object(), 450, 0);
+			Candidate busy = candidate("busy");
+			busy.load().observed(16, true, 2, 0);
+			assertThat(chosen(500, stuck, busy), is("busy"));
+		}
+
+		@Test
+		void aReportIsASignOfReceipt() {
+			Candidate slow = candidate("slow");
+			slow.load().sent(0);
+			slow.load().expects(new Object(), 80, 0);
+			slow.load().observed(1, true, 2, 450 * MS);
+			assertThat(slow.load().unconfirmedMs(500 * MS), lessThanOrEqualTo(0.0));
+			slow.load().sent(460 * MS);
+			slow.load().expects(new Object(), 80, 460 * MS);
+			assertThat(slow.load().unconfirmedMs(500 * MS), greaterThan(39.0));
+		}
+
+	}
+
+}
