--- a/daemon/src/test/java/org/baobabknot/relay/FollowedFeedTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/FollowedFeedTests.java
@@ -19,6 +19,7 @@
 import org.baobabknot.provider.ItemRelay;
 import org.baobabknot.provider.Snapshot;
 import org.baobabknot.provider.StoreClient;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -38,6 +39,9 @@
 	/** Time after a start in which a removal may be one of an outage before. */
 	private static final long START_MS = 2_200;
 
+	/** Time of a watch that does not end within a test. */
+	private static final long LONG_WATCH_MS = 30_000;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -48,8 +52,13 @@
 
 	private volatile boolean sourceConnected = true;
 
+	private @Nullable EmulatedEngine engine;
+
 	@AfterEach
 	void stop() {
+		if (this.engine != null) {
+			this.engine.close();
+		}
 		this.store.close();
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 	}
@@ -65,19 +74,47 @@
 		return true;
 	}
 
-	@Test
-	void aTargetThatIsRemovedWhileOnlyTheSourceLostTheStoreIsGoneAtOnce() throws Exception {
+	private FleetFeed start(long confirmMs) throws Exception {
 		this.store.configure(new EmulatedConfiguration(1).plain("plain"));
-		EmulatedEngine engine = new EmulatedEngine(this.group, "127.0.0.1", "t1", "plain", "a", "", 0);
-		this.store.list(engine, "ready");
+		this.engine = new EmulatedEngine(this.group, "127.0.0.1", "t1", "plain", "a", "", 0);
+		this.store.list(this.engine, "ready");
 		String[] address = this.store.address().split(":");
 		StoreClient client = new StoreClient(this.loop, address[0], Integer.parseInt(address[1]),
 				StoreClient.Observer.NONE);
-		FleetFeed feed = FleetFeed.gateway(client, new Source(), this.view, this.loop, 1_000, 0, (kind, detail) -> {
+		FleetFeed feed = FleetFeed.gateway(client, new Source(), this.view, this.loop, confirmMs, 0, (kind, detail) -> {
 		});
 		feed.start();
 		assertThat(within(5_000, () -> this.view.target("t1").isPresent() && feed.connected()), is(true));
 		Thread.sleep(START_MS);
+		return feed;
+	}
+
+	/** Guards against requests to targets that left while this process was cut off. */
+	@Test
+	void theTargetsAreReadAgainAsSoonAsTheStoreIsReachedAfterACut() throws Exception {
+		FleetFeed feed = start(LONG_WATCH_MS);
+		this.store.silenceWatches();
+		this.sourceConnected = false;
+		assertThat(within(5_000, () -> !feed.connected()), is(true));
+		this.store.unlist("t1");
+		this.sourceConnected = true;
+		assertThat(within(SOON_MS, () -> this.view.target("t1").isEmpty()), is(true));
+		feed.stop();
+	}
+
+	@Test
+	void theTargetsAreReadAgainWhenTheAgeOfTheViewIsInDoubt() throws Exception {
+		FleetFeed feed = start(LONG_WATCH_MS);
+		this.store.silenceWatches();
+		this.store.unlist("t1");
+		this.loop.execute(feed::confirmNow);
+		assertThat(within(SOON_MS, () -> this.view.target("t1").isEmpty()), is(true));
+		feed.stop();
+	}
+
+	@Test
+	void aTargetThatIsRemovedWhileOnlyTheSourceLostTheStoreIsGoneAtOnce() throws Exception {
+		FleetFeed feed = start(1_000);
 		this.sourceConnected = false;
 		assertThat(within(5_000, () -> !feed.connected()), is(true));
 		this.sourceConnected = true;
@@ -85,7 +122,6 @@
 		this.store.unlist("t1");
 		assertThat(within(SOON_MS, () -> this.view.target("t1").isEmpty()), is(true));
 		feed.stop();
-		engine.close();
 	}
 
 	/** Follows a process whose way to the store is cut now and then. */
