Leave the part of a loader behind a filled link to the others

And a transfer from a sender behind a narrow link counted as a sign of the receiver's own link.

Change: such a loader turns questions and transfers away at once, and is passed over for the usual time; one member of each domain takes its part. The fastest of three transfers counts for the own link, with the delay that probes show.

--- a/core/src/main/java/org/baobabknot/distribution/FetchFailure.java
+++ b/core/src/main/java/org/baobabknot/distribution/FetchFailure.java
@@ -11,6 +11,8 @@
 	NOT_HELD,
 	/** The source doesn't hold the chunk, and the origin does not answer it. */
 	NOT_SUPPLIED,
+	/** The source is behind a link that is filled, others had better take its place. */
+	SLOW,
 	/** The source has no upload slot. */
 	BUSY,
 	/** The source can't be reached, or the transfer stalled. */
--- a/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
+++ b/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
@@ -184,7 +184,7 @@
 	 * @return whether this member can expect to get them
 	 */
 	public FetchFailure missing() {
-		return (this.originFailures > 0 || this.window.slow()) ? FetchFailure.NOT_SUPPLIED : FetchFailure.NOT_HELD;
+		return (this.originFailures > 0) ? FetchFailure.NOT_SUPPLIED : FetchFailure.NOT_HELD;
 	}
 
 	/**
@@ -275,10 +275,11 @@
 	 * A transfer brought a chunk.
 	 * @param step the transfer
 	 * @param transferMs time for which it was on its way, in ms
+	 * @param linkDelayMs time for which bytes wait at the link of this machine, in ms
 	 * @param nowNanos monotonic time
 	 */
-	public void ended(FetchStep step, double transferMs, long nowNanos) {
-		arrived(step, transferMs, nowNanos);
+	public void ended(FetchStep step, double transferMs, double linkDelayMs, long nowNanos) {
+		arrived(step, transferMs, linkDelayMs, nowNanos);
 		held(step.chunks().get(0));
 		if (step.source().isEmpty() && this.originFailures > 0) {
 			// What others said of the origin was said in the same outage.
@@ -288,11 +289,11 @@
 		}
 	}
 
-	private void arrived(FetchStep step, double transferMs, long now) {
+	private void arrived(FetchStep step, double transferMs, double linkDelayMs, long now) {
 		end(step);
 		// The time at the origin is mostly that of its own link.
 		if (step.source().isPresent()) {
-			this.window.arrived(transferMs, now);
+			this.window.arrived(transferMs, linkDelayMs, now);
 		}
 	}
 
@@ -318,7 +319,7 @@
 			this.window.refused();
 		}
 		Peer source = step.source().get();
-		if (reason == FetchFailure.UNREACHABLE) {
+		if (reason == FetchFailure.UNREACHABLE || reason == FetchFailure.SLOW) {
 			this.avoidedUntil.put(source, nowNanos + AVOID_MS * MILLISECOND);
 			withdraw(new Lane(source, 0));
 			withdraw(new Lane(source, 1));
@@ -337,10 +338,11 @@
 	 * A transfer brought a chunk whose bytes are wrong.
 	 * @param step the transfer
 	 * @param transferMs time for which it was on its way, in ms
+	 * @param linkDelayMs time for which bytes wait at the link of this machine, in ms
 	 * @param nowNanos monotonic time
 	 */
-	public void corrupt(FetchStep step, double transferMs, long nowNanos) {
-		arrived(step, transferMs, nowNanos);
+	public void corrupt(FetchStep step, double transferMs, double linkDelayMs, long nowNanos) {
+		arrived(step, transferMs, linkDelayMs, nowNanos);
 		int index = step.chunks().get(0);
 		// The next request for it goes to another member.
 		this.misses[index] += ASIDE - 1 - this.misses[index] % ASIDE;
--- a/core/src/main/java/org/baobabknot/link/BulkWindow.java
+++ b/core/src/main/java/org/baobabknot/link/BulkWindow.java
@@ -1,5 +1,7 @@
 package org.baobabknot.link;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -27,6 +29,12 @@
 	/** Time of a transfer above which there are too many, in ms. */
 	static final double SLOW_MS = 200;
 
+	/**
+	 * Transfers of which the fastest counts: a sender behind a slow link of its own says
+	 * nothing about this one.
+	 */
+	private static final int NEWEST = 3;
+
 	/** Longest time for which the link is left to others, in ms. */
 	static final double MOST_PAUSE_MS = 1_000;
 
@@ -35,6 +43,8 @@
 
 	private static final double MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
 
+	private final Deque<Double> newestMs = new ArrayDeque<>();
+
 	private int size = 1;
 
 	private int onTheWay;
@@ -74,16 +84,22 @@
 	 * Takes note of a transfer that arrived.
 	 * @param transferMs time from its request, without the time for which the sender held
 	 * it back, in ms
+	 * @param linkDelayMs time for which bytes wait at the link now, in ms
 	 * @param nowNanos monotonic time
 	 */
-	public void arrived(double transferMs, long nowNanos) {
+	public void arrived(double transferMs, double linkDelayMs, long nowNanos) {
 		this.onTheWay--;
-		if (transferMs < FAST_MS) {
+		this.newestMs.addLast(transferMs);
+		if (this.newestMs.size() > NEWEST) {
+			this.newestMs.removeFirst();
+		}
+		double fastestMs = this.newestMs.stream().mapToDouble(Double::doubleValue).min().orElse(0);
+		if (transferMs < FAST_MS && linkDelayMs < SLOW_MS) {
 			this.size = Math.min(MOST, this.size + 1);
 			this.slow = false;
 		}
-		else if (transferMs > SLOW_MS) {
-			shrink(transferMs, nowNanos);
+		else if (linkDelayMs > SLOW_MS || (this.newestMs.size() == NEWEST && fastestMs > SLOW_MS)) {
+			shrink(Math.max(linkDelayMs, fastestMs), nowNanos);
 		}
 	}
 
@@ -120,10 +136,10 @@
 		return this.onTheWay;
 	}
 
-	private void shrink(double transferMs, long now) {
+	private void shrink(double delayMs, long now) {
 		if (this.size == 1) {
 			this.slow = true;
-			this.pausedUntilNanos = now + (long) (Math.min(MOST_PAUSE_MS, transferMs) * MILLISECOND);
+			this.pausedUntilNanos = now + (long) (Math.min(MOST_PAUSE_MS, delayMs) * MILLISECOND);
 		}
 		// Transfers that were on their way together tell of the same queue.
 		if (now - this.shrunkNanos > SLOW_MS * MILLISECOND) {
--- a/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
+++ b/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
@@ -143,6 +143,18 @@
 		return this.members.stream().filter((member) -> lives(member.self)).allMatch((member) -> member.doneNanos > 0);
 	}
 
+	/**
+	 * Returns when the last member with a whole link held the version.
+	 * @return time in seconds
+	 */
+	double lastWholeSeconds() {
+		return this.members.stream()
+			.filter((member) -> lives(member.self) && this.peers.indexOf(member.self) != this.narrowMember)
+			.mapToLong((member) -> member.doneNanos)
+			.max()
+			.orElse(0) / 1e9;
+	}
+
 	double lastSeconds() {
 		return this.members.stream()
 			.filter((member) -> lives(member.self))
@@ -187,6 +199,8 @@
 
 		private final Peer self;
 
+		private final BulkWindow window = new BulkWindow();
+
 		private final ScheduledFetch fetch;
 
 		private final Map<FetchStep, Long> openSince = new IdentityHashMap<>();
@@ -197,13 +211,32 @@
 
 		private long uploadFreeNanos;
 
+		private long uplinkFreeNanos;
+
 		private long downloadFreeNanos;
 
 		private long doneNanos;
 
 		Member(Peer self) {
 			this.self = self;
-			this.fetch = new ScheduledFetch(self, CHUNKS, new BulkWindow());
+			this.fetch = new ScheduledFetch(self, CHUNKS, this.window);
+		}
+
+		private double times() {
+			boolean narrow = peers().indexOf(this.self) == LoaderSimulation.this.narrowMember;
+			return (narrow) ? LoaderSimulation.this.narrowTimes : 1;
+		}
+
+		// A member behind a narrow link leaves its part to others.
+		private boolean turnsAway(Member from, FetchStep step) {
+			if (!this.window.slow()) {
+				return false;
+			}
+			if (from.openSince.remove(step) != null) {
+				from.fetch.failed(step, FetchFailure.SLOW, LoaderSimulation.this.now);
+				from.step();
+			}
+			return true;
 		}
 
 		void tick() {
@@ -211,6 +244,7 @@
 				return;
 			}
 			step();
+			this.waiting.removeIf((request) -> turnsAway(request.from(), request.step()));
 			if (this.doneNanos == 0) {
 				at(TICK_NANOS, this::tick);
 			}
@@ -264,10 +298,13 @@
 				return;
 			}
 			LoaderSimulation.this.sentByOrigin++;
-			at(sent - at, () -> receive(step));
+			at(sent - at, () -> receive(step, 0));
 		}
 
 		private void asked(Member from, FetchStep step) {
+			if (turnsAway(from, step)) {
+				return;
+			}
 			if (step.transfer()) {
 				send(from, step);
 				return;
@@ -300,16 +337,18 @@
 		}
 
 		private void send(Member to, FetchStep step) {
-			long sent = Math.max(LoaderSimulation.this.now, this.uploadFreeNanos)
+			long paced = Math.max(LoaderSimulation.this.now, this.uploadFreeNanos)
 					+ nanos(LINK_BYTES_PER_SECOND * UPLOAD_SHARE);
-			this.uploadFreeNanos = sent;
-			at(sent - LoaderSimulation.this.now + LATENCY_NANOS, () -> to.receive(step));
+			this.uploadFreeNanos = paced;
+			long sent = Math.max(paced, this.uplinkFreeNanos)
+					+ ((times() > 1) ? nanos(LINK_BYTES_PER_SECOND / times()) : 0);
+			this.uplinkFreeNanos = sent;
+			at(sent - LoaderSimulation.this.now + LATENCY_NANOS, () -> to.receive(step, (sent - paced) / (double) MS));
 		}
 
-		private void receive(FetchStep step) {
+		private void receive(FetchStep step, double uplinkMs) {
 			int index = step.chunks().get(0);
-			boolean narrow = peers().indexOf(this.self) == LoaderSimulation.this.narrowMember;
-			double rate = LINK_BYTES_PER_SECOND / ((narrow) ? LoaderSimulation.this.narrowTimes : 1);
+			double rate = LINK_BYTES_PER_SECOND / times();
 			long arrived = LoaderSimulation.this.now;
 			long received = Math.max(arrived, this.downloadFreeNanos) + nanos(rate);
 			this.downloadFreeNanos = received;
@@ -320,7 +359,7 @@
 					return;
 				}
 				this.holds.add(index);
-				this.fetch.ended(step, queueMs, LoaderSimulation.this.now);
+				this.fetch.ended(step, uplinkMs + queueMs, queueMs(), LoaderSimulation.this.now);
 				if (this.doneNanos == 0 && this.fetch.complete()) {
 					this.doneNanos = LoaderSimulation.this.now;
 				}
--- a/core/src/test/java/org/baobabknot/distribution/ScheduledFetchTests.java
+++ b/core/src/test/java/org/baobabknot/distribution/ScheduledFetchTests.java
@@ -24,6 +24,11 @@
 
 	private static final double COPY_SECONDS = 3.7;
 
+	/**
+	 * The bound of 8 s for a version less a second to load it and the margin of orders.
+	 */
+	private static final double MOST_FETCH_SECONDS = 6;
+
 	/** The origin's link carries about four copies in the time for a version. */
 	private static final double MOST_COPIES = 1.2;
 
@@ -77,6 +82,24 @@
 
 	}
 
+	@Nested
+	class SlowMembers {
+
+		/**
+		 * Guards against a fleet that waits for the chunks of a member behind a narrow
+		 * link.
+		 */
+		@ParameterizedTest
+		@CsvSource({ "12,3,6", "14,3,6", "14,3,12", "28,3,6" })
+		void aMemberBehindANarrowLinkDoesNotKeepTheOthersFromTheirVersion(int members, int domains, double times) {
+			LoaderSimulation fleet = new LoaderSimulation(members, domains).narrow(4, times);
+			double copies = fleet.run(LIMIT_MS);
+			assertThat("seconds", fleet.lastWholeSeconds(), lessThanOrEqualTo(MOST_FETCH_SECONDS));
+			assertThat("copies from the origin", copies, lessThanOrEqualTo(1.5));
+		}
+
+	}
+
 	@Nested
 	class Failures {
 
@@ -121,8 +144,8 @@
 			assertThat(steps.size(), is(ScheduledFetch.AT_ORIGIN));
 			assertThat(steps.stream().map(FetchStep::source).map((source) -> source.isEmpty()).toList(),
 					everyItem(is(true)));
-			steps.forEach((step) -> fetch.ended(step, 0, 0));
-			fetch.next(0, 0).forEach((step) -> fetch.ended(step, 0, 0));
+			steps.forEach((step) -> fetch.ended(step, 0, 0, 0));
+			fetch.next(0, 0).forEach((step) -> fetch.ended(step, 0, 0, 0));
 			assertThat(fetch.complete(), is(true));
 		}
 
--- a/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
+++ b/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
@@ -67,6 +67,12 @@
 	/** Time after which a chunk is taken for sent although no probe shows it. */
 	private static final long CONFIRM_TIMEOUT_MS = 1_000;
 
+	/**
+	 * Delay of the link, in ms, above which others get chunks elsewhere. Eight chunks of
+	 * 24 kB are 300 ms of a link of 5 Mbit/s.
+	 */
+	private static final double SLOW_LINK_MS = 400;
+
 	/** Part of the link for chunks. */
 	private static final double BULK_SHARE = 0.9;
 
@@ -88,6 +94,8 @@
 
 	private final LoadSender link;
 
+	private final BulkWindow downloads;
+
 	private final BulkWindow window = new BulkWindow();
 
 	private final ArrayDeque<Long> unconfirmed = new ArrayDeque<>();
@@ -104,15 +112,17 @@
 	 * @param domain failure domain of this process
 	 * @param linkBytesPerSecond rate of the machine's link
 	 * @param link knows the delay of the link
+	 * @param downloads transfers to this machine
 	 * @param versions finds a version of a model
 	 */
-	ChunkServer(EventLoopGroup group, String domain, long linkBytesPerSecond, LoadSender link,
+	ChunkServer(EventLoopGroup group, String domain, long linkBytesPerSecond, LoadSender link, BulkWindow downloads,
 			BiFunction<String, Long, Optional<VersionFetch>> versions) {
 		this.group = group;
 		this.loop = group.next();
 		this.domain = domain;
 		this.linkBytesPerSecond = linkBytesPerSecond;
 		this.link = link;
+		this.downloads = downloads;
 		this.versions = versions;
 		this.pacer = new Pacer(linkBytesPerSecond, BULK_SHARE, 1, System.nanoTime());
 	}
@@ -166,7 +176,33 @@
 		}
 	}
 
+	/**
+	 * Tells those that wait for chunks to get them elsewhere while the link is filled.
+	 */
+	void turnAwayWhenSlow() {
+		if (slow()) {
+			this.waiting.forEach(ChunkServer::turnAway);
+			this.waiting.clear();
+			this.toOtherDomains.forEach(ChunkServer::turnAway);
+			this.toOtherDomains.clear();
+			this.toOwnDomain.forEach(ChunkServer::turnAway);
+			this.toOwnDomain.clear();
+		}
+	}
+
+	private boolean slow() {
+		return this.window.slow() || this.downloads.slow() || this.link.delayMs() > SLOW_LINK_MS;
+	}
+
+	private static void turnAway(Request request) {
+		request.context().writeAndFlush(response(HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]));
+	}
+
 	private void question(Request request) {
+		if (slow()) {
+			turnAway(request);
+			return;
+		}
 		List<Integer> held = held(request);
 		if (!held.isEmpty()) {
 			offer(request, held);
@@ -203,6 +239,10 @@
 	}
 
 	private void enqueue(Request request) {
+		if (slow()) {
+			turnAway(request);
+			return;
+		}
 		((request.otherDomain()) ? this.toOtherDomains : this.toOwnDomain).add(request);
 		if (!this.sending) {
 			send();
@@ -246,7 +286,7 @@
 		while (!this.unconfirmed.isEmpty()) {
 			long sent = this.unconfirmed.element();
 			if (sent < confirmed) {
-				this.window.arrived(TimeUnit.NANOSECONDS.toMillis(now - sent), now);
+				this.window.arrived(TimeUnit.NANOSECONDS.toMillis(now - sent), this.link.delayMs(), now);
 			}
 			else if (now - sent > TimeUnit.MILLISECONDS.toNanos(CONFIRM_TIMEOUT_MS)) {
 				this.window.lost(now);
--- a/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
+++ b/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
@@ -35,6 +35,8 @@
 
 	private static final int NOT_SUPPLIED = 424;
 
+	private static final int SLOW = 503;
+
 	private final FleetSettings settings;
 
 	private final EventLoop loop;
@@ -114,6 +116,7 @@
 		return switch (answered.head().status()) {
 			case NOT_FOUND -> FetchFailure.NOT_HELD;
 			case NOT_SUPPLIED -> FetchFailure.NOT_SUPPLIED;
+			case SLOW -> FetchFailure.SLOW;
 			default -> FetchFailure.UNREACHABLE;
 		};
 	}
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -130,7 +130,7 @@
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
 		this.sender = new LoadSender(address.host() + ":" + address.port(), settings.region());
 		this.server = new ChunkServer(this.loop, settings.domain(), settings.resources().linkBytesPerSecond(),
-				this.sender, this::version);
+				this.sender, this.downloads, this::version);
 		this.manifests = new Manifests(this.loop);
 		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.sender,
 				this.manifests::origin);
@@ -172,6 +172,7 @@
 		if (!rests || this.server.sending()) {
 			this.sender.probe(this.view.entries());
 			logLink();
+			this.server.turnAwayWhenSlow();
 		}
 		if (this.asking || rests) {
 			return;
--- a/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
+++ b/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
@@ -232,14 +232,14 @@
 			this.plan.failed(step, answer.failure(), now);
 		}
 		else if (this.cancelled) {
-			this.plan.ended(step, answer.transferMs(), now);
+			this.plan.ended(step, answer.transferMs(), this.sources.linkDelayMs(), now);
 		}
 		else if (this.chunks.put(index, answer.bytes()) instanceof StoreResult.Corrupt) {
 			this.corrupt++;
-			this.plan.corrupt(step, answer.transferMs(), now);
+			this.plan.corrupt(step, answer.transferMs(), this.sources.linkDelayMs(), now);
 		}
 		else {
-			this.plan.ended(step, answer.transferMs(), now);
+			this.plan.ended(step, answer.transferMs(), this.sources.linkDelayMs(), now);
 			this.completeNanos = now;
 			stage(index);
 			this.sources.stored(this, index);
