See a caller that leaves behind what it has sent ahead, or during a stall

Cause: a gateway stopped reading a connection with more than 16 parts waiting behind the open request, so it never saw the close; and a request that was read after a stall was sent on although the close lay right behind it in the socket.

Change: what callers send ahead is read on within a shared bound of memory (SharedMemory, which was AnswerMemory); a connection is read until nothing is left before a request starts; a request that started late waits for one more turn of reading.

Ruled out: that the allocator option alone does it: without a number of reads a turn it reads once.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -15,6 +15,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -106,6 +107,9 @@
 
 	private static final int BACKLOG = 1_024;
 
+	/** Reads of one connection before the others have their turn; Netty's own number. */
+	private static final int READS_IN_A_TURN = 16;
+
 	/** Part of the file descriptors for connections of callers. */
 	private static final double CALLER_SHARE = 0.5;
 
@@ -114,6 +118,15 @@
 	 */
 	private static final double ANSWER_SHARE = 0.2;
 
+	/** Part of the heap for what callers send ahead of an answer. */
+	private static final double AHEAD_SHARE = 0.1;
+
+	/**
+	 * Bytes that one caller sends ahead and that are still read, as large as a usual
+	 * body. The close of a caller shows only behind what it has sent.
+	 */
+	private static final int MOST_AHEAD_BYTES = 1 << 20;
+
 	/** Largest answer that is collected whole, as large as the largest request. */
 	private static final int MOST_ANSWER_BYTES = 4 << 20;
 
@@ -140,9 +153,12 @@
 
 	private final TargetPool targets;
 
-	private final AnswerMemory answerMemory = new AnswerMemory((long) (Runtime.getRuntime().maxMemory() * ANSWER_SHARE),
+	private final SharedMemory answerMemory = new SharedMemory((long) (Runtime.getRuntime().maxMemory() * ANSWER_SHARE),
 			MOST_ANSWER_BYTES);
 
+	private final SharedMemory aheadMemory = new SharedMemory((long) (Runtime.getRuntime().maxMemory() * AHEAD_SHARE),
+			MOST_AHEAD_BYTES);
+
 	private final Placement placement;
 
 	private final RandomGenerator random = new SplittableRandom();
@@ -216,6 +232,10 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			// Reads until nothing is left, so that a close right behind a request is seen
+			// before the request is sent on.
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_IN_A_TURN))
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ChannelInitializer<>() {
 				@Override
@@ -264,11 +284,19 @@
 		return this.ended;
 	}
 
+	EventLoop loop() {
+		return this.loop;
+	}
+
 	FleetView view() {
 		return this.view;
 	}
 
-	AnswerMemory answerMemory() {
+	SharedMemory aheadMemory() {
+		return this.aheadMemory;
+	}
+
+	SharedMemory answerMemory() {
 		return this.answerMemory;
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -42,8 +42,14 @@
  */
 final class GatewayConnection extends ChannelInboundHandlerAdapter {
 
-	/** Messages that a caller may send ahead before its socket is no longer read. */
-	private static final int MOST_AHEAD = 16;
+	/** Memory of a message that a caller sends ahead, beside its body. */
+	private static final int MESSAGE_BYTES = 512;
+
+	/** Time from reading a request to its start that shows a stall of this process. */
+	private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	/** Time in which the event loop reads all connections once, in ms. */
+	private static final long READ_PAUSE_MS = 1;
 
 	/** Time for a caller to read an answer that came before the end of its body. */
 	private static final long LINGER_MS = 1_000;
@@ -54,6 +60,8 @@
 
 	private final ArrayDeque<Object> ahead = new ArrayDeque<>();
 
+	private int aheadBytes;
+
 	private @Nullable ChannelHandlerContext context;
 
 	private @Nullable HttpRequest head;
@@ -99,7 +107,12 @@
 		this.quietSinceNanos = System.nanoTime();
 		if (this.request != null || !this.ahead.isEmpty()) {
 			this.ahead.add(message);
-			if (this.ahead.size() > MOST_AHEAD) {
+			int bytes = MESSAGE_BYTES
+					+ ((message instanceof HttpContent content) ? content.content().readableBytes() : 0);
+			if (this.gateway.aheadMemory().tryGrow(this.aheadBytes, bytes)) {
+				this.aheadBytes += bytes;
+			}
+			else {
 				from.channel().config().setAutoRead(false);
 			}
 			return;
@@ -119,6 +132,7 @@
 		releaseBody();
 		this.ahead.forEach(ReferenceCountUtil::release);
 		this.ahead.clear();
+		releaseAhead();
 	}
 
 	@Override
@@ -280,8 +294,22 @@
 			this.head = null;
 			this.request = this.gateway.open(this, first, whole);
 			GatewayRequest open = this.request;
-			open.start();
+			long readNanos = System.nanoTime();
+			context().executor().execute(() -> start(open, readNanos));
+		}
+	}
+
+	// A close that was read right behind the request shows only after the read, and one
+	// that came during a stall is read before the request is sent on.
+	private void start(GatewayRequest open, long readNanos) {
+		if (open != this.request || !context().channel().isActive()) {
+			return;
+		}
+		if (System.nanoTime() - readNanos > STALL_NANOS) {
+			context().executor().schedule(() -> start(open, System.nanoTime()), READ_PAUSE_MS, TimeUnit.MILLISECONDS);
+			return;
 		}
+		open.start();
 	}
 
 	private void releaseBody() {
@@ -406,11 +434,17 @@
 		while (this.request == null && !this.closing && !this.ahead.isEmpty()) {
 			handle(this.ahead.remove());
 		}
-		if (this.ahead.size() <= MOST_AHEAD && !this.closing) {
+		if (this.ahead.isEmpty() && !this.closing) {
+			releaseAhead();
 			context().channel().config().setAutoRead(true);
 		}
 	}
 
+	private void releaseAhead() {
+		this.gateway.aheadMemory().release(this.aheadBytes);
+		this.aheadBytes = 0;
+	}
+
 	private void prepare(HttpResponse response) {
 		if (this.draining || this.gateway.draining()) {
 			this.keepAlive = false;
--- a/daemon/src/main/java/org/baobabknot/gateway/AnswerMemory.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedMemory.java
@@ -1,13 +1,13 @@
 package org.baobabknot.gateway;
 
 /**
- * Memory for answers that are collected whole, shared by all requests of a process. A
- * small answer always has room, so that answers that never end can't keep it from being
- * delivered. Confined to one thread.
+ * Memory for what is collected, such as whole answers, shared by all requests of a
+ * process. A little of each always has room, so that what never ends can't keep others
+ * from it. Confined to one thread.
  */
-final class AnswerMemory {
+final class SharedMemory {
 
-	/** Bytes for which an answer needs no room in the shared memory. */
+	/** Bytes of each that need no room in the shared memory. */
 	private static final int SMALL_BYTES = 64 << 10;
 
 	private final long mostBytes;
@@ -18,17 +18,17 @@
 
 	/**
 	 * Creates the memory.
-	 * @param mostBytes bytes of all answers beyond what each always has
-	 * @param mostOfOneBytes bytes of one answer
+	 * @param mostBytes bytes of all together beyond what each always has
+	 * @param mostOfOneBytes bytes of one
 	 */
-	AnswerMemory(long mostBytes, int mostOfOneBytes) {
+	SharedMemory(long mostBytes, int mostOfOneBytes) {
 		this.mostBytes = mostBytes;
 		this.mostOfOneBytes = mostOfOneBytes;
 	}
 
 	/**
-	 * Takes room for more of an answer.
-	 * @param before bytes of the answer so far
+	 * Takes room for more of one.
+	 * @param before its bytes so far
 	 * @param more further bytes
 	 * @return whether there is room
 	 */
@@ -42,7 +42,7 @@
 	}
 
 	/**
-	 * Gives back the room of an answer.
+	 * Gives back the room of one.
 	 * @param bytes its bytes
 	 */
 	void release(int bytes) {
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -22,7 +22,7 @@
 
 	private final GatewayRequest request;
 
-	private final AnswerMemory memory;
+	private final SharedMemory memory;
 
 	private final TargetRecord target;
 
@@ -48,7 +48,7 @@
 
 	private boolean done;
 
-	TargetAttempt(GatewayRequest request, AnswerMemory memory, TargetRecord target, TargetLoad load, String requestId,
+	TargetAttempt(GatewayRequest request, SharedMemory memory, TargetRecord target, TargetLoad load, String requestId,
 			boolean streams, double predictedMs, long sentNanos) {
 		this.request = request;
 		this.memory = memory;
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
@@ -124,6 +124,21 @@
 		Thread.sleep(100);
 	}
 
+	/**
+	 * Keeps the event loop of the gateway from running.
+	 * @param timeMs how long, in ms
+	 */
+	void stall(long timeMs) {
+		this.gateway.loop().execute(() -> {
+			try {
+				Thread.sleep(timeMs);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
 	Gateway gateway() {
 		return this.gateway;
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/AnswerMemoryTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/SharedMemoryTests.java
@@ -8,11 +8,11 @@
 /**
  * Tests of the memory for answers.
  */
-class AnswerMemoryTests {
+class SharedMemoryTests {
 
 	private static final int KILOBYTE = 1 << 10;
 
-	private final AnswerMemory memory = new AnswerMemory(1_000 * KILOBYTE, 800 * KILOBYTE);
+	private final SharedMemory memory = new SharedMemory(1_000 * KILOBYTE, 800 * KILOBYTE);
 
 	@Test
 	void oneAnswerIsBounded() {
