--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
@@ -42,9 +41,6 @@
  */
 final class GatewayConnection extends ChannelInboundHandlerAdapter {
 
-	/** Memory of a message that a caller sends ahead, beside its body. */
-	private static final int MESSAGE_BYTES = 512;
-
 	/** Time from reading a request to its start that shows a stall of this process. */
 	private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -58,9 +54,7 @@
 
 	private final Gateway gateway;
 
-	private final ArrayDeque<Object> ahead = new ArrayDeque<>();
-
-	private int aheadBytes;
+	private final AheadMessages ahead;
 
 	private @Nullable ChannelHandlerContext context;
 
@@ -90,6 +84,7 @@
 
 	GatewayConnection(Gateway gateway) {
 		this.gateway = gateway;
+		this.ahead = new AheadMessages(gateway.aheadMemory());
 	}
 
 	@Override
@@ -106,13 +101,7 @@
 	public void channelRead(ChannelHandlerContext from, Object message) {
 		this.quietSinceNanos = System.nanoTime();
 		if (this.request != null || !this.ahead.isEmpty()) {
-			this.ahead.add(message);
-			int bytes = MESSAGE_BYTES
-					+ ((message instanceof HttpContent content) ? content.content().readableBytes() : 0);
-			if (this.gateway.aheadMemory().tryGrow(this.aheadBytes, bytes)) {
-				this.aheadBytes += bytes;
-			}
-			else {
+			if (!this.ahead.add(message)) {
 				from.channel().config().setAutoRead(false);
 			}
 			return;
@@ -130,9 +119,7 @@
 			open.callerGone();
 		}
 		releaseBody();
-		this.ahead.forEach(ReferenceCountUtil::release);
 		this.ahead.clear();
-		releaseAhead();
 	}
 
 	@Override
@@ -435,16 +422,10 @@
 			handle(this.ahead.remove());
 		}
 		if (this.ahead.isEmpty() && !this.closing) {
-			releaseAhead();
 			context().channel().config().setAutoRead(true);
 		}
 	}
 
-	private void releaseAhead() {
-		this.gateway.aheadMemory().release(this.aheadBytes);
-		this.aheadBytes = 0;
-	}
-
 	private void prepare(HttpResponse response) {
 		if (this.draining || this.gateway.draining()) {
 			this.keepAlive = false;
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -13,7 +13,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.baobabknot.distribution.LoadTiming;
 import org.baobabknot.distribution.Peer;
@@ -55,9 +54,6 @@
 	 */
 	private static final double FILLED_LINK_MS = 100;
 
-	/** Time after which an order that had no visible effect is given again. */
-	private static final long REPEAT_ORDER_MS = 1_000;
-
 	private final FleetSettings settings;
 
 	private final EventLoop loop;
@@ -80,7 +76,7 @@
 
 	private final OperatorPort operator;
 
-	private final Counter orders;
+	private final LoadOrders orders;
 
 	private final Map<String, VersionFetch> fetches = new HashMap<>();
 
@@ -96,14 +92,8 @@
 
 	private int ticks;
 
-	private long orderedNanos;
-
-	private long orderedVersion;
-
 	private long bornMs = -1;
 
-	private boolean checking;
-
 	private boolean resting;
 
 	private boolean linkFilled;
@@ -134,11 +124,8 @@
 		this.manifests = new Manifests(this.loop);
 		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.sender,
 				this.manifests::origin);
-		this.orders = Counter.builder()
-			.name("baobabknot_load_orders")
-			.help("orders to load weights by the status of their answers")
-			.labelNames("status")
-			.register(registry);
+		this.orders = new LoadOrders(this.engine, log, registry,
+				(state) -> this.sender.tell(this.view.entries(), state.running(), state.waiting(), false));
 		this.operator = new OperatorPort(this.loop, registry, () -> true);
 	}
 
@@ -235,7 +222,7 @@
 	private void look(ServiceDefinition service, EngineClient.State state) {
 		if (state.bornMs() != this.bornMs) {
 			this.bornMs = state.bornMs();
-			this.orderedVersion = 0;
+			this.orders.forget();
 			// A machine that lost power has lost what was staged.
 			this.complete.values().forEach((fetch) -> {
 				for (int index = 0; index < fetch.chunks().manifest().chunks(); index++) {
@@ -260,7 +247,7 @@
 				bring(service, model, wanted, version, state);
 			}
 			else {
-				this.orderedVersion = 0;
+				this.orders.forget();
 				drop(this.fetches.remove(model));
 				drop(this.ahead.remove(model));
 				seed(service, model, version);
@@ -316,14 +303,10 @@
 				.with("corrupt", fetch.corrupt())
 				.write();
 		}
-		if (!fetch.staged() || state.ordered() || this.checking) {
-			return;
-		}
 		long now = System.nanoTime();
-		boolean repeated = this.orderedVersion == fetch.version()
-				&& now - this.orderedNanos < REPEAT_ORDER_MS * MILLISECOND;
-		if (!repeated && now - dueNanos(service, model, held, now) >= 0) {
-			check(fetch, state);
+		if (fetch.staged() && !state.ordered() && this.orders.allowed(fetch.version(), now)
+				&& now - dueNanos(service, model, held, now) >= 0) {
+			this.orders.check(fetch, state);
 		}
 	}
 
@@ -379,53 +362,6 @@
 		return since.get() + (long) timing(service).dueMs(rank, order.size()) * MILLISECOND;
 	}
 
-	// The engine checks nothing, and what lies in its staging area may turn bad, so every
-	// chunk is read back right before the order.
-	private void check(VersionFetch fetch, EngineClient.State state) {
-		this.checking = true;
-		int chunks = fetch.chunks().manifest().chunks();
-		List<CompletableFuture<Boolean>> checks = new ArrayList<>();
-		for (int index = 0; index < chunks; index++) {
-			int number = index;
-			checks.add(this.engine.staged(fetch.model(), index).thenApply((bytes) -> {
-				boolean good = bytes.isPresent()
-						&& Digests.of(bytes.get()).equals(fetch.chunks().manifest().chunkDigests().get(number));
-				if (!good) {
-					fetch.restage(number);
-				}
-				return good;
-			}));
-		}
-		CompletableFuture.allOf(checks.toArray(CompletableFuture[]::new)).thenRun(() -> {
-			this.checking = false;
-			if (checks.stream().allMatch(CompletableFuture::join)) {
-				order(fetch, state);
-			}
-			else {
-				this.log.line(DecisionLog.Importance.FAILURE, "staged-chunk-bad")
-					.with("version", fetch.version())
-					.write();
-			}
-		});
-	}
-
-	private void order(VersionFetch fetch, EngineClient.State state) {
-		this.orderedNanos = System.nanoTime();
-		this.orderedVersion = fetch.version();
-		this.engine.load(fetch.model(), fetch.version(), state.orders()).thenAccept((status) -> {
-			if (status.isPresent() && EngineClient.accepted(status.get())) {
-				this.sender.tell(this.view.entries(), state.running(), state.waiting(), false);
-			}
-			this.orders.labelValues(status.map(String::valueOf).orElse("none")).inc();
-			this.log.line(DecisionLog.Importance.STATE, "load-ordered")
-				.with("version", fetch.version())
-				.with("status", status.orElse(0))
-				.with("running", state.running())
-				.with("waiting", state.waiting())
-				.write();
-		});
-	}
-
 	private void begin(ServiceDefinition service, String model, long wanted, Map<String, VersionFetch> to) {
 		VersionFetch before = to.get(model);
 		Optional<Manifest> manifest = this.manifests.find(service.name(), model, wanted);
