Let a slow link count as slow for 2.5 s only

What would be seen: a loader whose uploads were slow once turned all others away for good, since only a fast upload took the state back; and transfers beyond six to one loader waited for a connection, which counted as time on the link. Found by reading the code; callers would have seen versions that arrive late.

Change: a slow transfer counts for as long as others pass a member over that turns them away; as many connections to a loader as transfers may be on their way, and two for questions.

--- a/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
+++ b/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
@@ -371,7 +371,7 @@
 		if (this.atOrigin.get(index) || this.onTheWay.get(index) || this.atOrigin.cardinality() >= mostAtOrigin()) {
 			return false;
 		}
-		if (this.window.slow() && this.window.onTheWay() + this.atOrigin.cardinality() > 0) {
+		if (this.window.slow(now) && this.window.onTheWay() + this.atOrigin.cardinality() > 0) {
 			return false;
 		}
 		if (this.holders.isEmpty() && this.schedule.fromOrigin(index)) {
@@ -402,7 +402,7 @@
 
 	private Optional<Peer> member(int index, long now) {
 		boolean own = this.schedule.fromOrigin(index) && this.holders.isEmpty();
-		if (own && this.originFailures == 0 && !this.window.slow()) {
+		if (own && this.originFailures == 0 && !this.window.slow(now)) {
 			return Optional.empty();
 		}
 		List<Peer> candidates = new ArrayList<>(this.sources.computeIfAbsent(index, this::sources));
--- a/core/src/main/java/org/baobabknot/link/BulkWindow.java
+++ b/core/src/main/java/org/baobabknot/link/BulkWindow.java
@@ -38,6 +38,12 @@
 	/** Longest time for which the link is left to others, in ms. */
 	static final double MOST_PAUSE_MS = 1_000;
 
+	/**
+	 * Time after a slow transfer for which others had better take another way, in ms; as
+	 * long as they pass a member over that turns them away.
+	 */
+	private static final double SLOW_FOR_MS = 2_500;
+
 	/** Time without a transfer after which what is known of the link is old, in ms. */
 	private static final double IDLE_MS = 1_000;
 
@@ -52,7 +58,9 @@
 
 	private int onTheWay;
 
-	private boolean slow;
+	private boolean everSlow;
+
+	private long slowNanos;
 
 	private long shrunkNanos;
 
@@ -74,7 +82,7 @@
 			this.size = 1;
 			this.newestMs.clear();
 		}
-		if (this.onTheWay >= this.size || (this.everStarted && nowNanos < this.pausedUntilNanos)) {
+		if (this.onTheWay >= this.size || (this.everStarted && nowNanos - this.pausedUntilNanos < 0)) {
 			return false;
 		}
 		if (linkDelayMs > FAST_MS && this.everStarted && (this.onTheWay > 0
@@ -103,7 +111,7 @@
 		double fastestMs = this.newestMs.stream().mapToDouble(Double::doubleValue).min().orElse(0);
 		if (transferMs < FAST_MS && linkDelayMs < SLOW_MS) {
 			this.size = Math.min(MOST, this.size + 1);
-			this.slow = false;
+			this.everSlow = false;
 		}
 		else if (linkDelayMs > SLOW_MS || (this.newestMs.size() == NEWEST && fastestMs > SLOW_MS)) {
 			shrink(Math.max(linkDelayMs, fastestMs), nowNanos);
@@ -128,11 +136,12 @@
 	}
 
 	/**
-	 * Tells whether one transfer at a time is slow.
+	 * Tells whether one transfer at a time was slow lately.
+	 * @param nowNanos monotonic time
 	 * @return whether others had better do what this member does for the fleet
 	 */
-	public boolean slow() {
-		return this.slow;
+	public boolean slow(long nowNanos) {
+		return this.everSlow && nowNanos - this.slowNanos < SLOW_FOR_MS * MILLISECOND;
 	}
 
 	/**
@@ -145,7 +154,8 @@
 
 	private void shrink(double delayMs, long now) {
 		if (this.size == 1) {
-			this.slow = true;
+			this.everSlow = true;
+			this.slowNanos = now;
 			this.pausedUntilNanos = now + (long) (Math.min(MOST_PAUSE_MS, delayMs) * MILLISECOND);
 		}
 		// Transfers that were on their way together tell of the same queue.
--- a/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
+++ b/core/src/test/java/org/baobabknot/distribution/LoaderSimulation.java
@@ -229,7 +229,7 @@
 
 		// A member behind a narrow link leaves its part to others.
 		private boolean turnsAway(Member from, FetchStep step) {
-			if (!this.window.slow()) {
+			if (!this.window.slow(LoaderSimulation.this.now)) {
 				return false;
 			}
 			if (from.openSince.remove(step) != null) {
--- a/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
+++ b/daemon/src/main/java/org/baobabknot/loader/ChunkServer.java
@@ -191,7 +191,8 @@
 	}
 
 	private boolean slow() {
-		return this.window.slow() || this.downloads.slow() || this.link.delayMs() > SLOW_LINK_MS;
+		long now = System.nanoTime();
+		return this.window.slow(now) || this.downloads.slow(now) || this.link.delayMs() > SLOW_LINK_MS;
 	}
 
 	private static void turnAway(Request request) {
--- a/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
+++ b/daemon/src/main/java/org/baobabknot/loader/HttpSources.java
@@ -17,6 +17,7 @@
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.httpclient.HttpResult;
+import org.baobabknot.link.BulkWindow;
 import org.baobabknot.provider.EngineClient;
 import org.baobabknot.provider.OriginClient;
 import org.baobabknot.settings.FleetSettings;
@@ -29,6 +30,9 @@
 
 	private static final Duration PEER_TIMEOUT = Duration.ofMillis(2_200);
 
+	/** All transfers that may be on their way, and two questions. */
+	private static final int MOST_CONNECTIONS = BulkWindow.MOST + 2;
+
 	private static final int OK = 200;
 
 	private static final int NOT_FOUND = 404;
@@ -132,11 +136,11 @@
 	}
 
 	private HttpClient peer(String host) {
-		return this.peers
-			.computeIfAbsent(host,
-					(absent) -> new HttpClient(this.loop, host, this.settings.peerPort(), new HttpClientSettings(6,
-							Duration.ofMillis(500), Duration.ofSeconds(3), 8 << 10, 4 << 20, false),
-							ConnectionHook.NONE));
+		return this.peers.computeIfAbsent(host,
+				(absent) -> new HttpClient(
+						this.loop, host, this.settings.peerPort(), new HttpClientSettings(MOST_CONNECTIONS,
+								Duration.ofMillis(500), Duration.ofSeconds(3), 8 << 10, 4 << 20, false),
+						ConnectionHook.NONE));
 	}
 
 }
