Tell all gateways when requests are late on their way to an engine with free places

Cause: each of 18 gateways had two requests of some 10 kB on their way there, which is 3 s of that link, and each learnt of it only from its own. Probes of 20 bytes pass where such requests wait.

Change: a probe comes back with the time by which a request of that gateway is late without a sign of receipt; while less than half of the engine's slots are taken, its loader passes the longest on to all gateways, which take it as lag and prefer others above 150 ms. A target that has not shown yet that it received a request gets no further one while another one has room.

--- a/core/src/main/java/org/baobabknot/placement/Placement.java
+++ b/core/src/main/java/org/baobabknot/placement/Placement.java
@@ -41,13 +41,6 @@
 	 */
 	private static final double HOPELESS_LINK_DELAY_MS = 500;
 
-	/**
-	 * Requests of this process without a sign of receipt that keep further ones away.
-	 * What is queued on the way to a target can't be taken back, and all other processes
-	 * send as much.
-	 */
-	private static final int MOST_UNCONFIRMED = 2;
-
 	/**
 	 * Time beyond the predicted one after which a single request without a sign of
 	 * receipt does so, in ms.
@@ -99,7 +92,11 @@
 		if (share < 1 && this.random.nextDouble() >= share) {
 			return new PlacementResult.Busy(leastWaitMs(candidates, work, nowNanos));
 		}
-		return best(candidates, work, coldRatePerSecond, senders, nowNanos);
+		List<Candidate> confirmed = confirmed(candidates);
+		PlacementResult result = best(confirmed, work, coldRatePerSecond, senders, nowNanos);
+		boolean more = confirmed.size() < candidates.size();
+		return (more && !(result instanceof PlacementResult.Chosen))
+				? best(candidates, work, coldRatePerSecond, senders, nowNanos) : result;
 	}
 
 	private static List<Candidate> reachable(List<Candidate> all, long nowNanos) {
@@ -116,11 +113,18 @@
 	private static List<Candidate> prompt(List<Candidate> all, long nowNanos) {
 		List<Candidate> prompt = new ArrayList<>(all);
 		prompt.removeIf((candidate) -> candidate.load().lagMs(nowNanos) > MOST_LAG_MS
-				|| candidate.load().unconfirmed() >= MOST_UNCONFIRMED
-				|| candidate.load().unconfirmedMs(nowNanos) > MOST_UNCONFIRMED_MS);
+				|| candidate.load().unconfirmedMs(nowNanos) > MOST_UNCONFIRMED_MS
+				|| candidate.load().othersLateMs(nowNanos) > MOST_UNCONFIRMED_MS);
 		return (prompt.isEmpty()) ? all : prompt;
 	}
 
+	// What is queued on the way to a target can't be taken back, and all other processes
+	// send as much: one that has not shown yet that it received a request gets no further
+	// one while another has room.
+	private static List<Candidate> confirmed(List<Candidate> all) {
+		return all.stream().filter((candidate) -> candidate.load().unconfirmed() == 0).toList();
+	}
+
 	// All processes see the same free places until the next report. When more requests
 	// compete for them than there are places, each process takes its part only, because
 	// what arrives beyond them makes all that follow late.
--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -67,6 +67,8 @@
 
 	private double linkDelayMs;
 
+	private double othersLateMs;
+
 	private long confirmedNanos = Long.MIN_VALUE;
 
 	private boolean everObserved;
@@ -152,13 +154,23 @@
 	 * @return time in ms
 	 */
 	public double lagMs(long nowNanos) {
-		double seen = Math.max(faded(this.lagMs, this.lagNanos, nowNanos), overdueMs(nowNanos));
+		double seen = Math.max(faded(this.lagMs, this.lagNanos, nowNanos),
+				Math.max(overdueMs(nowNanos), othersLateMs(nowNanos)));
 		if (this.unanswered.isEmpty()) {
 			return seen;
 		}
 		return Math.max(seen, this.unanswered.values().iterator().next().lateMs(nowNanos));
 	}
 
+	/**
+	 * Returns by how much requests of other processes are late without a sign of receipt.
+	 * @param nowNanos monotonic time
+	 * @return time in ms, 0 if nothing is known that is fresh
+	 */
+	public double othersLateMs(long nowNanos) {
+		return (fresh(nowNanos)) ? this.othersLateMs : 0;
+	}
+
 	private double overdueMs(long nowNanos) {
 		double age = (nowNanos - this.observedNanos) / MILLISECOND;
 		return (this.everObserved && age < REPORTER_GONE_MS) ? Math.max(0, age - REPORT_DUE_MS) : 0;
@@ -226,11 +238,14 @@
 	 * @param requests requests that run or wait at the target
 	 * @param accepts whether the target starts new requests, false while it loads weights
 	 * @param delayMs time for which bytes wait at the link of the target's machine, in ms
+	 * @param lateMs by how much requests of other processes are late there without a sign
+	 * of receipt, in ms
 	 * @param nowNanos monotonic time
 	 */
-	public void observed(int requests, boolean accepts, double delayMs, long nowNanos) {
+	public void observed(int requests, boolean accepts, double delayMs, double lateMs, long nowNanos) {
 		this.observed = requests;
 		this.linkDelayMs = delayMs;
+		this.othersLateMs = lateMs;
 		// What is on its way is not seen there.
 		this.inFlightAtObservation = Math.min(this.inFlight, requests);
 		this.observedNanos = nowNanos;
--- a/core/src/test/java/org/baobabknot/placement/PlacementSimulation.java
+++ b/core/src/test/java/org/baobabknot/placement/PlacementSimulation.java
@@ -237,7 +237,7 @@
 				this.toldNanos = at;
 				at(LATENCY_NANOS,
 						() -> PlacementSimulation.this.processes.forEach((process) -> process.loads.get(this.index)
-							.observed(requests, true, 0, PlacementSimulation.this.now)));
+							.observed(requests, true, 0, 0, PlacementSimulation.this.now)));
 			}
 			at(REPORT_NANOS, this::report);
 		}
--- a/core/src/test/java/org/baobabknot/placement/PlacementTests.java
+++ b/core/src/test/java/org/baobabknot/placement/PlacementTests.java
@@ -276,7 +276,7 @@
 		void aFreshObservationGoesBeforeWhatAnswersTold() {
 			TargetLoad load = new TargetLoad();
 			load.reported(30, 0);
-			load.observed(4, true, 0, 0);
+			load.observed(4, true, 0, 0, 0);
 			load.sent(0);
 			assertThat(load.total(0), is(5.0));
 			assertThat(load.total(SECOND), is(5.0));
@@ -286,7 +286,7 @@
 		@Test
 		void aTargetThatLoadsWeightsIsPassedOver() {
 			Candidate loading = candidate("loading", false, true);
-			loading.load().observed(0, false, 0, SECOND);
+			loading.load().observed(0, false, 0, 0, SECOND);
 			assertThat(choose(List.of(loading, candidate("far", false, false)), 400), is("far"));
 			assertThat("it is still better than none", choose(List.of(loading), 400), is("loading"));
 		}
--- a/core/src/test/java/org/baobabknot/placement/SlowPathTests.java
+++ b/core/src/test/java/org/baobabknot/placement/SlowPathTests.java
@@ -49,9 +49,9 @@
 		@Test
 		void anIdleTargetBehindAFilledLinkGetsNothing() {
 			Candidate filled = candidate("filled");
-			filled.load().observed(0, true, 700, 0);
+			filled.load().observed(0, true, 700, 0, 0);
 			Candidate busy = candidate("busy");
-			busy.load().observed(16, true, 2, 0);
+			busy.load().observed(16, true, 2, 0, 0);
 			assertThat(chosen(10, filled, busy), is("busy"));
 			assertThat("a request that can't arrive in time is refused", choose(10, filled),
 					instanceOf(PlacementResult.Busy.class));
@@ -60,15 +60,15 @@
 		@Test
 		void aLinkThatIsFreeAgainIsUsedAgain() {
 			Candidate filled = candidate("filled");
-			filled.load().observed(0, true, 700, 0);
-			filled.load().observed(0, true, 3, 300 * MS);
+			filled.load().observed(0, true, 700, 0, 0);
+			filled.load().observed(0, true, 3, 0, 300 * MS);
 			assertThat(chosen(310, filled), is("filled"));
 		}
 
 		@Test
 		void aSomewhatSlowLinkIsUsedWhenThereIsNoOther() {
 			Candidate slow = candidate("slow");
-			slow.load().observed(0, true, 350, 0);
+			slow.load().observed(0, true, 350, 0, 0);
 			assertThat(chosen(10, slow), is("slow"));
 		}
 
@@ -80,9 +80,9 @@
 		@Test
 		void aTargetWhoseReportsAreOverdueLags() {
 			Candidate silent = candidate("silent");
-			silent.load().observed(0, true, 0, 0);
+			silent.load().observed(0, true, 0, 0, 0);
 			Candidate busy = candidate("busy");
-			busy.load().observed(16, true, 2, 1_950 * MS);
+			busy.load().observed(16, true, 2, 0, 1_950 * MS);
 			assertThat(silent.load().lagMs(900 * MS), is(0.0));
 			assertThat(chosen(2_000, silent, busy), is("busy"));
 			assertThat("its loader may be gone", chosen(2_000, silent), is("silent"));
@@ -93,7 +93,7 @@
 		void requestsOnTheirWayCountAlthoughAReportDoesNotShowThem() {
 			TargetLoad load = new TargetLoad();
 			send(load, 5);
-			load.observed(1, true, 2, 100 * MS);
+			load.observed(1, true, 2, 0, 100 * MS);
 			load.sent(101 * MS);
 			assertThat(load.total(101 * MS), is(6.0));
 		}
@@ -102,7 +102,7 @@
 		void requestsThatAReportShowsCountOnce() {
 			TargetLoad load = new TargetLoad();
 			send(load, 5);
-			load.observed(9, true, 2, 100 * MS);
+			load.observed(9, true, 2, 0, 100 * MS);
 			assertThat(load.total(101 * MS), is(9.0));
 		}
 
@@ -115,10 +115,10 @@
 		@Test
 		void aTargetThatGivesNoSignOfReceiptGetsNoFurtherRequests() {
 			Candidate stuck = candidate("stuck");
-			send(stuck.load(), 2);
-			stuck.load().observed(0, true, 2, 40 * MS);
+			send(stuck.load(), 1);
+			stuck.load().observed(0, true, 2, 0, 40 * MS);
 			Candidate busy = candidate("busy");
-			busy.load().observed(16, true, 2, 0);
+			busy.load().observed(16, true, 2, 0, 0);
 			assertThat(chosen(50, stuck, busy), is("busy"));
 			assertThat("it is better than none", chosen(50, stuck), is("stuck"));
 		}
@@ -128,10 +128,22 @@
 			Candidate late = candidate("late");
 			send(late.load(), 1);
 			Candidate busy = candidate("busy");
-			busy.load().observed(18, true, 2, 0);
+			busy.load().observed(18, true, 2, 0, 0);
 			assertThat(chosen(240, late, busy), is("busy"));
 		}
 
+		/** Guards against each process losing a request of its own to the same link. */
+		@Test
+		void whatIsLateForOthersKeepsTheFirstRequestAway() {
+			Candidate late = candidate("late");
+			late.load().observed(0, true, 2, 400, 0);
+			Candidate busy = candidate("busy");
+			busy.load().observed(18, true, 2, 0, 0);
+			assertThat(chosen(10, late, busy), is("busy"));
+			late.load().observed(1, true, 2, 0, 500 * MS);
+			assertThat(chosen(510, late, busy), is("late"));
+		}
+
 		@Test
 		void anAnswerConfirmsWhatWasSentBefore() {
 			TargetLoad load = new TargetLoad();
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -254,7 +254,7 @@
 			});
 		return bound.thenCompose((done) -> this.operator.bind(readiness.host(), readiness.port()))
 			.thenCompose((done) -> this.operator.bind(this.settings.host(), this.settings.metricsPort()))
-			.thenCompose((done) -> new LoadReceiver(this::observed).bind(this.loop, this.settings.host(),
+			.thenCompose((done) -> new LoadReceiver(this.targets).bind(this.loop, this.settings.host(),
 					this.settings.peerPort()))
 			.thenCompose((done) -> this.values.bind(this.settings.host(), this.settings.peerPort()))
 			.thenRun(() -> {
@@ -508,11 +508,6 @@
 		this.connections.remove(connection);
 	}
 
-	private void observed(String address, int requests, boolean accepts, int linkDelayMs) {
-		this.targets.at(address)
-			.ifPresent((state) -> state.load().observed(requests, accepts, linkDelayMs, System.nanoTime()));
-	}
-
 	private void accept(Channel channel) {
 		if (this.connections.size() >= this.settings.resources().descriptors() * CALLER_SHARE) {
 			this.log.line(DecisionLog.Importance.FAILURE, "caller-refused")
--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -8,6 +8,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -53,7 +54,7 @@
 		try {
 			LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
 			if (report.getProbe() != 0) {
-				context.writeAndFlush(new DatagramPacket(packet.content().retain(), packet.sender()));
+				answer(context, packet, report);
 				return;
 			}
 			Long known = this.sequences.get(report.getAddress());
@@ -62,7 +63,8 @@
 				this.sequences.put(report.getAddress(), report.getSequence());
 				this.listener.reported(report.getAddress(),
 						report.getLoad().getRunning() + report.getLoad().getQueued(),
-						report.getLoad().getAdmission() != Admission.SWITCHING, report.getLinkDelayMs());
+						report.getLoad().getAdmission() != Admission.SWITCHING, report.getLinkDelayMs(),
+						report.getLateMs());
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
@@ -70,6 +72,14 @@
 		}
 	}
 
+	private void answer(ChannelHandlerContext context, DatagramPacket packet, LoadReport probe) {
+		byte[] bytes = probe.toBuilder()
+			.setLateMs((int) Math.round(this.listener.lateMs(probe.getAddress())))
+			.build()
+			.toByteArray();
+		context.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), packet.sender()));
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		logger.atInfo().log("datagram port: %s", cause);
@@ -86,8 +96,18 @@
 		 * @param requests requests that run or wait there
 		 * @param accepts whether it starts new requests
 		 * @param linkDelayMs time for which bytes wait at the link of its machine, in ms
+		 * @param lateMs by how much requests of other entries are late there without a
+		 * sign of receipt, in ms
+		 */
+		void reported(String address, int requests, boolean accepts, int linkDelayMs, int lateMs);
+
+		/**
+		 * Tells by how much a request of this process is late at a target without a sign
+		 * of receipt.
+		 * @param address address of the target
+		 * @return time in ms, 0 if none is
 		 */
-		void reported(String address, int requests, boolean accepts, int linkDelayMs);
+		double lateMs(String address);
 
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -20,7 +20,7 @@
  * connections of its own, because its address may have belonged to another one. Runs on
  * one event loop.
  */
-final class TargetPool {
+final class TargetPool implements LoadReceiver.Listener {
 
 	/** Part of the connections of a target that the entries together may open. */
 	private static final double CONNECTION_SHARE = 0.9;
@@ -91,7 +91,7 @@
 	 * @param address the address
 	 * @return its state, or nothing
 	 */
-	Optional<TargetState> at(String address) {
+	private Optional<TargetState> at(String address) {
 		for (TargetState state : this.states.values()) {
 			if (state.address().equals(address)) {
 				return Optional.of(state);
@@ -100,6 +100,17 @@
 		return Optional.empty();
 	}
 
+	@Override
+	public void reported(String address, int requests, boolean accepts, int linkDelayMs, int lateMs) {
+		at(address)
+			.ifPresent((state) -> state.load().observed(requests, accepts, linkDelayMs, lateMs, System.nanoTime()));
+	}
+
+	@Override
+	public double lateMs(String address) {
+		return at(address).map((state) -> state.load().unconfirmedMs(System.nanoTime())).orElse(0.0);
+	}
+
 	private int connections(TargetRecord target) {
 		int most = this.view.configuration()
 			.flatMap((configuration) -> configuration.service(target.service()))
--- a/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
+++ b/daemon/src/main/java/org/baobabknot/loader/LoadSender.java
@@ -45,6 +45,15 @@
 	 */
 	private static final double LEAST_DELAY_CHANGE_MS = 60;
 
+	/**
+	 * Time for which what an entry tells of its late requests counts: several probes to
+	 * each entry of a region.
+	 */
+	private static final long LATE_FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+	/** Part of the slots of an engine below which its requests don't wait there. */
+	private static final double FREE_SHARE = 0.5;
+
 	private final String address;
 
 	private final String region;
@@ -65,6 +74,12 @@
 
 	private int probed;
 
+	private double lateMs;
+
+	private long lateNanos = System.nanoTime();
+
+	private boolean hasFreePlaces;
+
 	/**
 	 * Creates a sender that sends nothing yet.
 	 * @param address address of the engine, as targets are listed
@@ -103,13 +118,24 @@
 	private void echoed(DatagramPacket packet) {
 		try {
 			LoadReport echo = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
-			this.delay.echoed(echo.getProbe(), System.nanoTime());
+			long now = System.nanoTime();
+			this.delay.echoed(echo.getProbe(), now);
+			if (echo.getLateMs() >= lateMs(now)) {
+				this.lateMs = echo.getLateMs();
+				this.lateNanos = now;
+			}
 		}
 		catch (InvalidProtocolBufferException ex) {
 			logger.atInfo().log("dropping a datagram from %s: %s", packet.sender(), ex.getMessage());
 		}
 	}
 
+	// Requests that are late at an engine with free places are late on their way.
+	private double lateMs(long now) {
+		boolean fresh = now - this.lateNanos < LATE_FRESH_NANOS;
+		return (fresh && this.hasFreePlaces) ? this.lateMs : 0;
+	}
+
 	/**
 	 * Sends a probe to the next entry of the own region, or of any region if those don't
 	 * answer.
@@ -124,16 +150,22 @@
 		}
 		this.probed++;
 		EntryRecord entry = asked.get(Math.floorMod(this.probed, asked.size()));
-		byte[] bytes = LoadReport.newBuilder().setProbe(this.delay.sent(System.nanoTime())).build().toByteArray();
+		byte[] bytes = LoadReport.newBuilder()
+			.setAddress(this.address)
+			.setProbe(this.delay.sent(System.nanoTime()))
+			.build()
+			.toByteArray();
 		open.writeAndFlush(datagram(bytes, entry));
 	}
 
 	/**
-	 * Returns for how long bytes wait at the link of this machine.
+	 * Returns for how long bytes wait at the link of this machine: as probes show it, or
+	 * the requests of entries.
 	 * @return time in ms
 	 */
 	double delayMs() {
-		return this.delay.delayMs(System.nanoTime());
+		long now = System.nanoTime();
+		return Math.max(this.delay.delayMs(now), lateMs(now));
 	}
 
 	/**
@@ -154,25 +186,29 @@
 	 * @param running requests that run
 	 * @param waiting requests that wait
 	 * @param accepts whether the engine starts new requests
+	 * @param slots requests that the engine runs at once, 0 if that is not known
 	 */
-	void tell(List<EntryRecord> entries, int running, int waiting, boolean accepts) {
+	void tell(List<EntryRecord> entries, int running, int waiting, boolean accepts, int slots) {
 		Channel open = this.channel;
 		long now = System.nanoTime();
 		int requests = running + waiting;
-		double delayMs = delayMs();
+		this.hasFreePlaces = requests < slots * FREE_SHARE;
+		double delayMs = this.delay.delayMs(now);
+		double late = lateMs(now);
 		boolean changed = Math.abs(requests - this.toldRequests) >= LEAST_CHANGE || accepts != this.toldAccepts
-				|| Math.abs(delayMs - this.toldDelayMs) >= LEAST_DELAY_CHANGE_MS;
+				|| Math.abs(Math.max(delayMs, late) - this.toldDelayMs) >= LEAST_DELAY_CHANGE_MS;
 		if (open == null || (!changed && now - this.toldNanos < LONGEST_PAUSE_NANOS)) {
 			return;
 		}
 		this.toldRequests = requests;
 		this.toldAccepts = accepts;
-		this.toldDelayMs = delayMs;
+		this.toldDelayMs = Math.max(delayMs, late);
 		this.toldNanos = now;
 		byte[] bytes = LoadReport.newBuilder()
 			.setAddress(this.address)
 			.setSequence(++this.sequence)
 			.setLinkDelayMs((int) Math.round(delayMs))
+			.setLateMs((int) Math.round(late))
 			.setLoad(Load.newBuilder()
 				.setRunning(running)
 				.setQueued(waiting)
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -125,7 +125,7 @@
 		this.sources = new HttpSources(settings, this.loop, this.engine, this.server, this.sender,
 				this.manifests::origin);
 		this.orders = new LoadOrders(this.engine, log, registry,
-				(state) -> this.sender.tell(this.view.entries(), state.running(), state.waiting(), false));
+				(state) -> this.sender.tell(this.view.entries(), state.running(), state.waiting(), false, 0));
 		this.operator = new OperatorPort(this.loop, registry, () -> true);
 	}
 
@@ -231,7 +231,13 @@
 				this.fetches.putIfAbsent(fetch.model(), fetch);
 			});
 		}
-		this.sender.tell(this.view.entries(), state.running(), state.waiting(), !state.ordered());
+		int slots = this.view.targets(service.name())
+			.stream()
+			.filter((target) -> target.host().equals(this.settings.host()))
+			.mapToInt(TargetRecord::slots)
+			.max()
+			.orElse(0);
+		this.sender.tell(this.view.entries(), state.running(), state.waiting(), !state.ordered(), slots);
 		this.resting = true;
 		for (String model : service.models()) {
 			long wanted = Math.max(1, this.view.wantedVersion(model));
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
@@ -6,6 +6,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,6 +37,9 @@
 
 	private static final long PATIENCE_SECONDS = 15;
 
+	/** Bytes by which an echo may be longer than its probe. */
+	private static final int LARGEST_ADDITION = 64;
+
 	final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
 
 	final EmulatedStore store = new EmulatedStore(this.group);
@@ -124,6 +128,23 @@
 		Thread.sleep(100);
 	}
 
+	/**
+	 * Sends a probe as the loader beside an engine does.
+	 * @param engine the engine
+	 * @return what the gateway sends back
+	 */
+	LoadReport probe(EmulatedEngine engine) throws IOException {
+		byte[] bytes = LoadReport.newBuilder().setAddress(engine.address()).setProbe(7).build().toByteArray();
+		try (DatagramSocket socket = new DatagramSocket()) {
+			socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(PATIENCE_SECONDS));
+			socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getLoopbackAddress(), this.reportPort));
+			DatagramPacket echo = new DatagramPacket(new byte[bytes.length + LARGEST_ADDITION],
+					bytes.length + LARGEST_ADDITION);
+			socket.receive(echo);
+			return LoadReport.parseFrom(Arrays.copyOf(echo.getData(), echo.getLength()));
+		}
+	}
+
 	/**
 	 * Keeps the event loop of the gateway from running.
 	 * @param timeMs how long, in ms
