--- a/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
+++ b/core/src/main/java/org/baobabknot/distribution/ScheduledFetch.java
@@ -5,16 +5,16 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.distribution.ChunkOffers.Choice;
+import org.baobabknot.distribution.ChunkOffers.Lane;
 import org.baobabknot.link.BulkWindow;
 
 /**
@@ -99,11 +99,7 @@
 
 	private ChunkSchedule schedule;
 
-	private final Map<Lane, List<Integer>> offers = new LinkedHashMap<>();
-
-	private final BitSet onTheWay = new BitSet();
-
-	private final Map<Peer, Integer> sending = new HashMap<>();
+	private final ChunkOffers offers = new ChunkOffers();
 
 	private final BulkWindow window;
 
@@ -204,7 +200,7 @@
 			}
 			int number = index;
 			member(index, nowNanos).map((member) -> lane(member, number))
-				.filter((lane) -> !this.atOrigin.get(number) && !this.onTheWay.get(number)
+				.filter((lane) -> !this.atOrigin.get(number) && !this.offers.onTheWay(number)
 						&& !this.asked.contains(lane))
 				.ifPresent((lane) -> wanted.computeIfAbsent(lane, (absent) -> new ArrayList<>()).add(number));
 		}
@@ -218,57 +214,25 @@
 		return steps;
 	}
 
-	// Chunks that others of the domain wait for come first, then those of the members
-	// that send the fewest to this one now.
 	private void addTransfers(List<FetchStep> steps, double linkDelayMs, long now) {
-		this.offers.values().forEach((offered) -> offered.removeIf(this::needless));
-		this.offers.entrySet().removeIf((offer) -> {
-			boolean empty = offer.getValue().isEmpty();
-			if (empty) {
-				this.asked.remove(offer.getKey());
-			}
-			return empty;
-		});
-		Comparator<Lane> order = Comparator
-			.comparing((Lane lane) -> !this.schedule.inward(first(this.offers.getOrDefault(lane, List.of()))))
-			.thenComparing((lane) -> this.sending.getOrDefault(lane.member(), 0));
-		while (true) {
-			Optional<Lane> best = this.offers.keySet()
-				.stream()
-				.filter((lane) -> first(this.offers.getOrDefault(lane, List.of())) >= 0)
-				.min(order);
-			if (best.isEmpty() || !this.window.tryStart(linkDelayMs, now)) {
-				return;
-			}
-			Lane lane = best.get();
-			int index = first(this.offers.getOrDefault(lane, List.of()));
-			this.onTheWay.set(index);
-			this.sending.merge(lane.member(), 1, Integer::sum);
-			steps.add(new FetchStep(Optional.of(lane.member()), List.of(index), lane.number(), true));
+		this.offers.drop((index) -> this.held.get(index) || this.atOrigin.get(index)).forEach(this.asked::remove);
+		Optional<Choice> best = this.offers.best(this.schedule::inward);
+		while (best.isPresent() && this.window.tryStart(linkDelayMs, now)) {
+			Choice choice = best.get();
+			this.offers.started(choice);
+			steps.add(new FetchStep(Optional.of(choice.lane().member()), List.of(choice.index()),
+					choice.lane().number(), true));
+			best = this.offers.best(this.schedule::inward);
 		}
 	}
 
-	private boolean needless(int index) {
-		return this.held.get(index) || this.onTheWay.get(index) || this.atOrigin.get(index);
-	}
-
-	private int first(List<Integer> offered) {
-		int found = -1;
-		for (int index : offered) {
-			if (!needless(index) && (found < 0 || (this.schedule.inward(index) && !this.schedule.inward(found)))) {
-				found = index;
-			}
-		}
-		return found;
-	}
-
 	/**
 	 * A member answered a question.
 	 * @param step the question
 	 * @param indices chunks that it holds
 	 */
 	public void offered(FetchStep step, Collection<Integer> indices) {
-		this.offers.put(new Lane(step.source().orElseThrow(), step.lane()), new ArrayList<>(indices));
+		this.offers.add(new Lane(step.source().orElseThrow(), step.lane()), indices);
 	}
 
 	/**
@@ -349,7 +313,7 @@
 	}
 
 	private void withdraw(Lane lane) {
-		if (this.offers.remove(lane) != null) {
+		if (this.offers.withdraw(lane)) {
 			this.asked.remove(lane);
 		}
 	}
@@ -368,7 +332,7 @@
 	}
 
 	private boolean asksOrigin(int index, long now) {
-		if (this.atOrigin.get(index) || this.onTheWay.get(index) || this.atOrigin.cardinality() >= mostAtOrigin()) {
+		if (this.atOrigin.get(index) || this.offers.onTheWay(index) || this.atOrigin.cardinality() >= mostAtOrigin()) {
 			return false;
 		}
 		if (this.window.slow(now) && this.window.onTheWay() + this.atOrigin.cardinality() > 0) {
@@ -444,18 +408,13 @@
 			this.atOrigin.clear(step.chunks().get(0));
 			return;
 		}
+		Lane lane = new Lane(step.source().get(), step.lane());
 		if (step.transfer()) {
-			this.onTheWay.clear(step.chunks().get(0));
-			this.sending.merge(step.source().get(), -1, Integer::sum);
+			this.offers.ended(lane, step.chunks().get(0));
 		}
-		Lane lane = new Lane(step.source().get(), step.lane());
-		if (!this.offers.containsKey(lane)) {
+		if (!this.offers.contains(lane)) {
 			this.asked.remove(lane);
 		}
 	}
 
-	/** One of the requests to a member that are open at once. */
-	private record Lane(Peer member, int number) {
-	}
-
 }
