--- a/core/src/main/java/org/baobabknot/link/BulkWindow.java
+++ b/core/src/main/java/org/baobabknot/link/BulkWindow.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Bounds the bulk transfers that are on their way to this machine. Answers the load of
- * weights and live requests on one link, whose rate may be far below the stated one: what
- * is queued in front of a link can't be taken back, and what arrives behind it is late.
- * Starts with one transfer, takes one more for each that was fast, halves when one was
- * slow, and leaves the link to others for as long as a transfer took when even one at a
- * time is slow. Confined to one thread.
+ * Bounds the bulk transfers that are on their way over a link in one direction. Answers
+ * the load of weights and live requests on one link, whose rate may be far below the
+ * stated one: what is queued in front of a link can't be taken back, and what arrives
+ * behind it is late. Starts with one transfer, takes one more for each that was fast,
+ * halves when one was slow, and leaves the link to others for as long as a transfer took
+ * when even one at a time is slow. Confined to one thread.
  */
 public final class BulkWindow {
 
@@ -47,7 +47,9 @@
 	/** Time without a transfer after which what is known of the link is old, in ms. */
 	private static final double IDLE_MS = 1_000;
 
-	/** Transfers that start after such a pause, as a multiple of the delay. */
+	/**
+	 * Time between two transfers while the link is filled, as a multiple of its delay.
+	 */
 	private static final double PAUSE_DELAYS = 2;
 
 	private static final double MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
