--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/entry/KeyedBodyLimitTests.java
@@ -0,0 +1,41 @@
+package org.baobabknot.entry;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Checks the limit of bodies that are kept for a repeat.
+ */
+class KeyedBodyLimitTests {
+
+	private static EntryFixture fixture;
+
+	@BeforeAll
+	static void start() throws IOException {
+		fixture = new EntryFixture(1);
+	}
+
+	@AfterAll
+	static void stop() {
+		fixture.close();
+	}
+
+	// Guards against idempotent and keyed bodies without a bound.
+	@Test
+	void keyedBodyPastItsLimitIsRefusedAsNotRun() throws IOException {
+		try (RawCaller caller = fixture.caller()) {
+			caller.post("/s/orders", "a".repeat(300_000), "Idempotency-Key: k");
+			RawCaller.Answer answer = caller.read();
+			assertThat(answer.status(), is(413));
+			assertThat(answer.body(), containsString("not-run:oversized"));
+		}
+	}
+
+}
--- a/daemon/src/test/java/org/baobabknot/entry/MalformedCallerTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/MalformedCallerTests.java
@@ -129,17 +129,6 @@
 		assertServes();
 	}
 
-	// Guards against idempotent and keyed bodies without a bound.
-	@Test
-	void keyedBodyPastItsLimitIsRefusedAsNotRun() throws IOException {
-		try (RawCaller caller = fixture.caller()) {
-			caller.post("/s/orders", "a".repeat(300_000), "Idempotency-Key: k");
-			RawCaller.Answer answer = caller.read();
-			assertThat(answer.status(), is(413));
-			assertThat(answer.body(), containsString("not-run:oversized"));
-		}
-	}
-
 	// Guards against more open connections than the limit.
 	@Test
 	void connectionsPastTheLimitAreClosed() throws IOException {
