Relay the list of targets between gateways, and bound the time for which removed targets are kept

Change: PrefixWatcher pulls from other processes as the operators' items do; two gateways a region watch the targets, the others follow them, and loaders take versions and targets from gateways. The process that reads the store decides whether a removed target may return; its followers apply each removal. That time ends 2 s after the store is reached again, and does not begin after an outage too short for an entry to expire (two heartbeats, a new setting). Unknown routes and keys are denied only on a view confirmed within the time for configurations.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -17,6 +17,10 @@
 	/** Latency added by entry and agent. */
 	LATENCY("measures the latency that entry and agent add to a target", LatencyExperiment::new),
 
+	/** Processor time and memory of a gateway and two loaders. */
+	FOOTPRINT("measures processor time and memory of a gateway and loaders on the emulated platform",
+			FootprintExperiment::new),
+
 	/** Effects of taking a failure domain out of service and back. */
 	DOMAIN("takes a failure domain out and back under load, with a baseline in the same run", DomainExperiment::new),
 
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -200,9 +201,11 @@
 		FleetSettings.Bounds bounds = settings.bounds();
 		EntryRecord self = new EntryRecord(settings.instance(), settings.region(), settings.host(),
 				settings.peerPort());
-		ValueRelay relay = new ValueRelay(this.loop, () -> ValueSources.forEntry(this.view.entries(), self));
-		this.feed = FleetFeed.forGateway(this.store, relay, this.view, this.loop,
-				(long) (bounds.keyMs() * KEY_CONFIRM_INTERVAL_RATIO), bounds.versionMs(), this::changed);
+		Supplier<ValueSources> sources = () -> ValueSources.forEntry(this.view.entries(), self);
+		this.feed = FleetFeed.forGateway(this.store, new ValueRelay(this.loop, sources),
+				new ValueRelay(this.loop, sources), this.view, this.loop,
+				(long) (bounds.keyMs() * KEY_CONFIRM_INTERVAL_RATIO), bounds.versionMs(), bounds.heartbeatMs(),
+				this::changed);
 		this.valueServer = new ValueServer(this.loop, this.feed::snapshot);
 		this.feed.onUpdate(this.valueServer::respondToWaiting);
 		this.registration = new EntryRegistration(this.store, this.loop, self);
@@ -333,7 +336,7 @@
 	 * @return whether routes and keys missing from it may be denied
 	 */
 	boolean configurationCurrent() {
-		return this.feed.isConnected() && keysFresh();
+		return this.feed.isConnected() && viewAgeMs() < this.settings.bounds().configurationMs() && keysFresh();
 	}
 
 	void requestConfirmation() {
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -116,7 +116,7 @@
 		ValueRelay relay = new ValueRelay(this.loop,
 				() -> ValueSources.forOtherProcess(this.view.entries(), settings.region(), settings.instance()));
 		this.feed = FleetFeed.forLoader(this.store, relay, this.view, this.loop, settings.bounds().versionMs(),
-				this::changed);
+				settings.bounds().heartbeatMs(), this::changed);
 		FleetSettings.HostPort address = settings.engine().orElseThrow().address();
 		this.engine = new EngineClient(this.loop, address.host(), address.port());
 		this.loadReporter = new LoadReporter(address.host() + ":" + address.port(), settings.region());
--- a/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
@@ -99,6 +99,11 @@
 		return System.nanoTime() - this.noSourceSinceNanos > TimeUnit.MILLISECONDS.toNanos(patienceMs);
 	}
 
+	@Override
+	public boolean hasSources() {
+		return !this.followOrder.get().sources().isEmpty();
+	}
+
 	@Override
 	public void onStoreReached() {
 		this.noSourceSinceNanos = 0;
--- a/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
@@ -110,12 +110,17 @@
 	}
 
 	/**
-	 * Responds to all waiting pulls, because a value has changed or was confirmed.
+	 * Responds to the waiting pulls of values that have changed or were confirmed.
+	 * @param prefix prefix of the keys of these values
 	 */
-	public void respondToWaiting() {
-		List<PendingPull> pulls = List.copyOf(this.waitingPulls);
-		this.waitingPulls.clear();
-		pulls.forEach((pull) -> pull.respond(snapshot(pull)));
+	public void respondToWaiting(String prefix) {
+		List<PendingPull> pulls = this.waitingPulls.stream()
+			.filter((pull) -> pull.request.getPrefix().startsWith(prefix))
+			.toList();
+		pulls.forEach((pull) -> {
+			this.waitingPulls.remove(pull);
+			pull.respond(snapshot(pull));
+		});
 	}
 
 	private ItemSnapshot snapshot(PendingPull pull) {
@@ -128,7 +133,9 @@
 		// Without the store there are no changes to wait for. An immediate response lets
 		// the caller use another source.
 		boolean disconnected = !snapshot.connected();
-		boolean respondNow = snapshot.revision() > 0 && (!snapshot.changedItems().isEmpty() || fresher || disconnected);
+		boolean changed = !snapshot.changedItems().isEmpty()
+				|| !snapshot.presentRevisions().keySet().containsAll(pull.request.getKnownMap().keySet());
+		boolean respondNow = snapshot.revision() > 0 && (changed || fresher || disconnected);
 		if (respondNow || pull.request.getWaitMs() == 0 || this.waitingPulls.size() >= MAX_WAITING_PULLS) {
 			pull.respond(snapshot);
 			return;
@@ -150,6 +157,11 @@
 		return cached.bytes();
 	}
 
+	private void discardRemoved(String prefix, ItemSnapshot snapshot) {
+		this.compressed.keySet()
+			.removeIf((key) -> key.startsWith(prefix) && !snapshot.presentRevisions().containsKey(key));
+	}
+
 	private static void write(ChannelHandlerContext context, HttpResponseStatus status, byte[] body) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
 				Unpooled.wrappedBuffer(body));
@@ -179,6 +191,7 @@
 				.setAgeMs(snapshot.ageMs())
 				.setConnected(snapshot.connected())
 				.putAllPresent(snapshot.presentRevisions());
+			discardRemoved(this.request.getPrefix(), snapshot);
 			for (StoreClient.Item item : snapshot.changedItems()) {
 				byte[] value = item.value();
 				if (value != null) {
--- a/daemon/src/main/java/org/baobabknot/settings/FleetSettings.java
+++ b/daemon/src/main/java/org/baobabknot/settings/FleetSettings.java
@@ -75,9 +75,10 @@
 	 * @param coldOvershoot factor by which the rate limit of a cold target may be
 	 * exceeded
 	 * @param coldSlack requests per second allowed to a cold target in addition to that
+	 * @param heartbeatMs interval at which targets renew their entries
 	 */
 	public record Bounds(long configurationMs, long keyMs, long versionMs, long shutdownMs, double retryRatio,
-			long retryWindowMs, double retryMinimum, double coldOvershoot, double coldSlack) {
+			long retryWindowMs, double retryMinimum, double coldOvershoot, double coldSlack, long heartbeatMs) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/settings/FleetSettingsReader.java
+++ b/daemon/src/main/java/org/baobabknot/settings/FleetSettingsReader.java
@@ -79,7 +79,8 @@
 				section.number("keyMs", -1, 1, HOUR_MS), section.number("versionMs", -1, 1, HOUR_MS),
 				section.number("shutdownMs", -1, 1, HOUR_MS), section.decimal("retryRatio", 0, 10),
 				section.number("retryWindowMs", -1, 1, HOUR_MS), section.decimal("retryMinimum", 0, 1e9),
-				section.decimal("coldOvershoot", 1, 100), section.decimal("coldSlack", 0, 1e6));
+				section.decimal("coldOvershoot", 1, 100), section.decimal("coldSlack", 0, 1e6),
+				section.number("heartbeatMs", -1, 1, HOUR_MS));
 		section.reportUnknownKeys();
 		return bounds;
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/ConfigurationOverSharedLinkTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/ConfigurationOverSharedLinkTests.java
@@ -25,7 +25,7 @@
 	private static final long MAX_PROPAGATION_MS = 3_000;
 
 	private static final FleetSettings.Bounds BOUNDS = new FleetSettings.Bounds(MAX_PROPAGATION_MS, 5_000, 10_000,
-			8_000, 0.2, 10_000, 357, 1.5, 5);
+			8_000, 0.2, 10_000, 357, 1.5, 5, 1_200);
 
 	/**
 	 * Copies of a configuration that may be sent over the link after a change: one for
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
@@ -35,6 +35,9 @@
 
 	static final String MODEL = "m";
 
+	/** Time within which a configuration has to be in force. */
+	static final long CONFIGURATION_MS = 2_000;
+
 	private static final long TIMEOUT_SECONDS = 15;
 
 	/** Bytes by which an echo may exceed its probe. */
@@ -69,7 +72,7 @@
 				Optional.of(new FleetSettings.HostPort("127.0.0.1", this.port)),
 				Optional.of(new FleetSettings.HostPort("127.0.0.1", this.readyPort)), storeAddress, Optional.empty(),
 				this.reportPort, TestPorts.findFree(),
-				new FleetSettings.Bounds(2_000, keyMs, 8_000, 8_000, 0.2, 10_000, 200, 1.5, 5),
+				new FleetSettings.Bounds(CONFIGURATION_MS, keyMs, 8_000, 8_000, 0.2, 10_000, 200, 1.5, 5, 1_200),
 				new FleetSettings.Resources(1_000, 1_000_000));
 		this.gateway = new Gateway(settings, this.group, new DecisionLog("entry-1", this.logOutput));
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
@@ -265,6 +265,21 @@
 			assertThat(response.headers(), hasKey("retry-after"));
 		}
 
+		/**
+		 * A route that is missing here may have been added before the time within which a
+		 * configuration has to be in force.
+		 */
+		@Test
+		void nothingIsDeniedOnAConfigurationThatIsNotConfirmedInTime() throws Exception {
+			GatewayTests.this.fixture.close();
+			GatewayTests.this.fixture = new GatewayFixture(20_000);
+			GatewayTests.this.fixture.start();
+			GatewayTests.this.fixture.store.dropWatchesSilently();
+			assertThat(GatewayTests.this.fixture.call("GET", "/none/x", "r1", "").status(), is(404));
+			Thread.sleep(GatewayFixture.CONFIGURATION_MS);
+			assertThat(GatewayTests.this.fixture.call("GET", "/none/x", "r2", "").status(), is(503));
+		}
+
 		@Test
 		void aRevokedKeyIsDenied() throws Exception {
 			addPlainTarget("t1", "a");
--- a/daemon/src/test/java/org/baobabknot/loader/LoaderTests.java
+++ b/daemon/src/test/java/org/baobabknot/loader/LoaderTests.java
@@ -71,7 +71,8 @@
 				"r" + domain, Map.of("a", "ra", "b", "rb"), host, Optional.empty(), Optional.empty(),
 				address(this.store.address()),
 				Optional.of(new FleetSettings.LocalEngine(address(engine.address()), "models")), this.peerPort,
-				TestPorts.findFree(), new FleetSettings.Bounds(2_000, 5_000, 2_000, 8_000, 0.2, 10_000, 200, 1.5, 5),
+				TestPorts.findFree(),
+				new FleetSettings.Bounds(2_000, 5_000, 2_000, 8_000, 0.2, 10_000, 200, 1.5, 5, 1_200),
 				new FleetSettings.Resources(1_000, 50_000_000));
 		new Loader(settings, this.group, new DecisionLog("loader-" + number, this.logOutput)).start()
 			.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/daemon/src/test/java/org/baobabknot/relay/RelayedFleetFeedTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/RelayedFleetFeedTests.java
@@ -43,6 +43,8 @@
 	/** Interval of confirmations, and so a wait of watches, that exceeds each test. */
 	private static final long LONG_WATCH_MS = 30_000;
 
+	private static final long HEARTBEAT_MS = 500;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -82,8 +84,8 @@
 		String[] address = this.store.address().split(":");
 		StoreClient client = new StoreClient(this.loop, address[0], Integer.parseInt(address[1]),
 				StoreClient.Observer.NONE);
-		FleetFeed feed = FleetFeed.forGateway(client, new Source(), this.view, this.loop, confirmMs, 0,
-				(kind, detail) -> {
+		FleetFeed feed = FleetFeed.forGateway(client, new Source(), ItemRelay.NONE, this.view, this.loop, confirmMs, 0,
+				HEARTBEAT_MS, (kind, detail) -> {
 				});
 		feed.start();
 		assertThat(within(5_000, () -> this.view.target("t1").isPresent() && feed.isConnected()), is(true));
@@ -126,6 +128,51 @@
 		feed.stop();
 	}
 
+	/**
+	 * Guards against requests to a target that leaves soon after this process alone had
+	 * lost the store: they are allowed for 2 s after the removal.
+	 */
+	@Test
+	void aTargetRemovedAfterTheStoreIsReachedAgainIsNotKeptForTheWholeGrace() throws Exception {
+		FleetFeed feed = start(1_000);
+		this.store.refuseCalls(503);
+		this.store.compactHistory();
+		assertThat(within(5_000, () -> feed.targetsAgeMs() > 3 * HEARTBEAT_MS), is(true));
+		this.store.refuseCalls(0);
+		assertThat(within(5_000, () -> feed.targetsAgeMs() < 500), is(true));
+		Thread.sleep(900);
+		this.store.removeTarget("t1");
+		assertThat(within(1_500, () -> this.view.target("t1").isEmpty()), is(true));
+		feed.stop();
+	}
+
+	@Test
+	void aTargetRemovedWhileTheStoreWasUnreachableIsKeptUntilItMayHaveReturned() throws Exception {
+		FleetFeed feed = start(1_000);
+		this.store.refuseCalls(503);
+		this.store.compactHistory();
+		assertThat(within(5_000, () -> feed.targetsAgeMs() > 3 * HEARTBEAT_MS), is(true));
+		this.store.removeTarget("t1");
+		this.store.refuseCalls(0);
+		assertThat(within(5_000, () -> feed.targetsAgeMs() < 500), is(true));
+		Thread.sleep(1_500);
+		assertThat(within(100, () -> this.view.target("t1").isPresent()), is(true));
+		assertThat(within(1_000, () -> this.view.target("t1").isEmpty()), is(true));
+		feed.stop();
+	}
+
+	@Test
+	void aTargetRemovedInAnOutageTooShortForItsEntryToExpireIsDroppedAtOnce() throws Exception {
+		FleetFeed feed = start(1_000);
+		this.store.refuseCalls(503);
+		this.store.compactHistory();
+		this.store.removeTarget("t1");
+		Thread.sleep(HEARTBEAT_MS / 2);
+		this.store.refuseCalls(0);
+		assertThat(within(REMOVAL_TIMEOUT_MS, () -> this.view.target("t1").isEmpty()), is(true));
+		feed.stop();
+	}
+
 	/** Relay from a process whose connection to the store can be cut. */
 	private final class Source implements ItemRelay {
 
@@ -134,6 +181,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean hasSources() {
+			return true;
+		}
+
 		@Override
 		public void onStoreReached() {
 		}
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -157,7 +157,7 @@
 			assertThat(pendingPoll.isDone(), is(false));
 			serverLoop.submit(() -> {
 				snapshot[0] = changedSnapshot(6, true);
-				server.respondToWaiting();
+				server.respondToWaiting("");
 			});
 			assertThat(pendingPoll.get(2, TimeUnit.SECONDS).orElseThrow().revision(), is(6L));
 		}
