Report the load of targets to other regions through relays, in batches

Cause: each loader sent each report to every gateway. Addresses of recipients are resolved once for each list of entries, targets are found by address in a map instead of a search.

--- a/core/src/main/java/org/baobabknot/fleet/FleetView.java
+++ b/core/src/main/java/org/baobabknot/fleet/FleetView.java
@@ -41,6 +41,8 @@
 
 	private final Map<String, EntryRecord> entries = new HashMap<>();
 
+	private @Nullable List<EntryRecord> entriesList;
+
 	private int maxEntries;
 
 	private Set<String> domainsOut = Set.of();
@@ -222,7 +224,9 @@
 	 * @param entry the entry
 	 */
 	public void putEntry(EntryRecord entry) {
-		this.entries.put(entry.instance(), entry);
+		if (!entry.equals(this.entries.put(entry.instance(), entry))) {
+			this.entriesList = null;
+		}
 	}
 
 	/**
@@ -231,14 +235,20 @@
 	 */
 	public void removeEntry(String instance) {
 		this.entries.remove(instance);
+		this.entriesList = null;
 	}
 
 	/**
 	 * Returns the entries that are registered.
-	 * @return a copy
+	 * @return an immutable list, the same one until an entry changes
 	 */
 	public List<EntryRecord> entries() {
-		return List.copyOf(this.entries.values());
+		List<EntryRecord> current = this.entriesList;
+		if (current == null) {
+			current = List.copyOf(this.entries.values());
+			this.entriesList = current;
+		}
+		return current;
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -251,8 +251,8 @@
 			});
 		return bound.thenCompose((done) -> this.operatorPort.bind(readinessAddress.host(), readinessAddress.port()))
 			.thenCompose((done) -> this.operatorPort.bind(this.settings.host(), this.settings.metricsPort()))
-			.thenCompose((done) -> new LoadReceiver(this.targetPool).bind(this.loop, this.settings.host(),
-					this.settings.peerPort()))
+			.thenCompose((done) -> new LoadReceiver(this.targetPool, this::otherEntriesOfRegion).bind(this.loop,
+					this.settings.host(), this.settings.peerPort()))
 			.thenCompose((done) -> this.valueServer.bind(this.settings.host(), this.settings.peerPort()))
 			.thenRun(() -> {
 				// The processes to follow depend on all entries, including this one.
@@ -529,6 +529,14 @@
 		}, new HttpServerCodec(decoder), connection);
 	}
 
+	private List<EntryRecord> otherEntriesOfRegion() {
+		return this.view.entries()
+			.stream()
+			.filter((entry) -> entry.region().equals(this.settings.region())
+					&& !entry.instance().equals(this.settings.instance()))
+			.toList();
+	}
+
 	private void sweep() {
 		long now = System.nanoTime();
 		long wallMs = System.currentTimeMillis();
--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -1,8 +1,13 @@
 package org.baobabknot.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -14,22 +19,44 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.protocol.generated.Admission;
 import org.baobabknot.protocol.generated.LoadReport;
 
 /**
- * Receives the load reports that loaders send as datagrams, and echoes their probes.
+ * Receives the load reports that loaders send as datagrams, and echoes their probes. As a
+ * relay of its region it passes the reports from other regions on to the entries there,
+ * those of a short time in one datagram. Confined to one event loop.
  */
 final class LoadReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/**
+	 * Time for which reports are collected, a part of the time in which loaders read the
+	 * load again.
+	 */
+	private static final long RELAY_DELAY_MS = 50;
+
+	/** Reports in one datagram, so that it fits into one packet of a usual network. */
+	private static final int MAX_RELAYED_REPORTS = 20;
+
 	private final Listener listener;
 
+	private final Supplier<List<EntryRecord>> relayRecipients;
+
 	private final Map<String, Long> lastSequences = new HashMap<>();
 
-	LoadReceiver(Listener listener) {
+	private final Map<String, LoadReport> reportsToPassOn = new LinkedHashMap<>();
+
+	/**
+	 * Creates a receiver.
+	 * @param listener receives the reports
+	 * @param relayRecipients supplies the other entries of the region of this process
+	 */
+	LoadReceiver(Listener listener, Supplier<List<EntryRecord>> relayRecipients) {
 		this.listener = listener;
+		this.relayRecipients = relayRecipients;
 	}
 
 	CompletableFuture<Void> bind(EventLoop loop, String host, int port) {
@@ -57,15 +84,11 @@
 				echoProbe(context, packet, report);
 				return;
 			}
-			Long lastSequence = this.lastSequences.get(report.getAddress());
-			// A restarted sender begins its sequence with the time of day, so its reports
-			// are not taken for old ones.
-			if (lastSequence == null || lastSequence < report.getSequence()) {
-				this.lastSequences.put(report.getAddress(), report.getSequence());
-				this.listener.loadReported(report.getAddress(),
-						report.getLoad().getRunning() + report.getLoad().getQueued(),
-						report.getLoad().getAdmission() != Admission.SWITCHING, report.getLinkDelayMs(),
-						report.getLateMs());
+			if (report.getRelayedCount() > 0) {
+				report.getRelayedList().forEach(this::handleReport);
+			}
+			else if (handleReport(report) && report.getPassOn()) {
+				passOn(context, report);
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
@@ -73,6 +96,44 @@
 		}
 	}
 
+	// A restarted sender begins its sequence with the time of day, so its reports are not
+	// taken for old ones.
+	private boolean handleReport(LoadReport report) {
+		Long lastSequence = this.lastSequences.get(report.getAddress());
+		if (lastSequence != null && lastSequence >= report.getSequence()) {
+			return false;
+		}
+		this.lastSequences.put(report.getAddress(), report.getSequence());
+		this.listener.loadReported(report.getAddress(), report.getLoad().getRunning() + report.getLoad().getQueued(),
+				report.getLoad().getAdmission() != Admission.SWITCHING, report.getLinkDelayMs(), report.getLateMs());
+		return true;
+	}
+
+	private void passOn(ChannelHandlerContext context, LoadReport report) {
+		if (this.reportsToPassOn.isEmpty()) {
+			context.executor().schedule(() -> flushReports(context), RELAY_DELAY_MS, TimeUnit.MILLISECONDS);
+		}
+		this.reportsToPassOn.put(report.getAddress(), report.toBuilder().clearPassOn().build());
+	}
+
+	private void flushReports(ChannelHandlerContext context) {
+		List<LoadReport> reports = List.copyOf(this.reportsToPassOn.values());
+		this.reportsToPassOn.clear();
+		List<InetSocketAddress> recipients = this.relayRecipients.get()
+			.stream()
+			.map((entry) -> new InetSocketAddress(entry.host(), entry.port()))
+			.toList();
+		for (int start = 0; start < reports.size(); start += MAX_RELAYED_REPORTS) {
+			byte[] bytes = LoadReport.newBuilder()
+				.addAllRelayed(reports.subList(start, Math.min(reports.size(), start + MAX_RELAYED_REPORTS)))
+				.build()
+				.toByteArray();
+			recipients
+				.forEach((recipient) -> context.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), recipient)));
+		}
+		context.flush();
+	}
+
 	private void echoProbe(ChannelHandlerContext context, DatagramPacket packet, LoadReport probe) {
 		byte[] bytes = probe.toBuilder()
 			.setLateMs((int) Math.round(this.listener.lateMs(probe.getAddress())))
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -40,6 +40,8 @@
 
 	private final Map<String, PooledTarget> pooledTargets = new HashMap<>();
 
+	private final Map<String, PooledTarget> byAddress = new HashMap<>();
+
 	TargetPool(EventLoopGroup group, FleetView view) {
 		this.group = group;
 		this.view = view;
@@ -64,6 +66,7 @@
 						CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES, MAX_BODY_BYTES, true), ConnectionHook.NONE),
 				new TargetLoad());
 		this.pooledTargets.put(target.id(), created);
+		this.byAddress.put(created.address(), created);
 		return created;
 	}
 
@@ -81,6 +84,7 @@
 			}
 			else if (entry.getValue().load().inFlight() == 0) {
 				entry.getValue().client().close();
+				this.byAddress.remove(entry.getValue().address(), entry.getValue());
 				entries.remove();
 			}
 		}
@@ -92,12 +96,7 @@
 	 * @return the pooled target, empty if none is in use there
 	 */
 	private Optional<PooledTarget> findByAddress(String address) {
-		for (PooledTarget pooledTarget : this.pooledTargets.values()) {
-			if (pooledTarget.address().equals(address)) {
-				return Optional.of(pooledTarget);
-			}
-		}
-		return Optional.empty();
+		return Optional.ofNullable(this.byAddress.get(address));
 	}
 
 	@Override
--- a/daemon/src/main/java/org/baobabknot/loader/LoadReporter.java
+++ b/daemon/src/main/java/org/baobabknot/loader/LoadReporter.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.baobabknot.fleet.EntryRecord;
+import org.baobabknot.fleet.ReportRecipients;
 import org.baobabknot.link.LinkDelay;
 import org.baobabknot.protocol.generated.Admission;
 import org.baobabknot.protocol.generated.Load;
@@ -24,11 +25,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reports the load of one engine and the delay of its machine's link to all entries, when
- * either has changed and at least once a second. A report is one datagram, and a lost one
- * is replaced by the next. The link delay is measured with probes that entries echo,
- * entries of the same region first, since links between regions do not belong to this
- * machine. Confined to one event loop.
+ * Reports the load of one engine and the delay of its machine's link to the entries, when
+ * either has changed and at least once a second. A report is one datagram to each of the
+ * {@link ReportRecipients}, and a lost one is replaced by the next. The link delay is
+ * measured with probes that entries echo, entries of the same region first, since links
+ * between regions do not belong to this machine. Confined to one event loop.
  */
 final class LoadReporter {
 
@@ -63,6 +64,14 @@
 
 	private final LinkDelay linkDelay = new LinkDelay();
 
+	private List<EntryRecord> entries = List.of();
+
+	private List<InetSocketAddress> sameRegion = List.of();
+
+	private List<InetSocketAddress> relays = List.of();
+
+	private List<InetSocketAddress> all = List.of();
+
 	private @Nullable Channel channel;
 
 	private long sequence = System.currentTimeMillis() << 16;
@@ -141,27 +150,44 @@
 		return (fresh && this.hasFreeSlots) ? this.requestLatenessMs : 0;
 	}
 
+	/**
+	 * Sets the entries that receive reports and probes.
+	 * @param registered all registered entries
+	 */
+	void updateEntries(List<EntryRecord> registered) {
+		if (registered == this.entries) {
+			return;
+		}
+		this.entries = registered;
+		ReportRecipients recipients = ReportRecipients.of(registered, this.region);
+		this.sameRegion = addresses(recipients.sameRegion());
+		this.relays = addresses(recipients.relays());
+		this.all = addresses(registered);
+	}
+
+	private static List<InetSocketAddress> addresses(List<EntryRecord> entries) {
+		return entries.stream().map((entry) -> new InetSocketAddress(entry.host(), entry.port())).toList();
+	}
+
 	/**
 	 * Sends a probe to the next entry of the same region, or of any region if there is
 	 * none or several probes were not echoed.
-	 * @param entries all entries
 	 */
-	void sendProbe(List<EntryRecord> entries) {
+	void sendProbe() {
 		Channel openChannel = this.channel;
-		List<EntryRecord> sameRegion = entries.stream().filter((entry) -> entry.region().equals(this.region)).toList();
-		List<EntryRecord> candidates = (sameRegion.isEmpty() || this.linkDelay.peersUnresponsive()) ? entries
-				: sameRegion;
+		List<InetSocketAddress> candidates = (this.sameRegion.isEmpty() || this.linkDelay.peersUnresponsive())
+				? this.all : this.sameRegion;
 		if (openChannel == null || candidates.isEmpty()) {
 			return;
 		}
 		this.probeCount++;
-		EntryRecord entry = candidates.get(Math.floorMod(this.probeCount, candidates.size()));
 		byte[] bytes = LoadReport.newBuilder()
 			.setAddress(this.address)
 			.setProbe(this.linkDelay.recordSent(System.nanoTime()))
 			.build()
 			.toByteArray();
-		openChannel.writeAndFlush(datagram(bytes, entry));
+		openChannel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
+				candidates.get(Math.floorMod(this.probeCount, candidates.size()))));
 	}
 
 	/**
@@ -182,19 +208,14 @@
 		return (this.probeCount == 0) ? System.nanoTime() : this.linkDelay.lastEchoedSentNanos();
 	}
 
-	private static DatagramPacket datagram(byte[] bytes, EntryRecord entry) {
-		return new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(entry.host(), entry.port()));
-	}
-
 	/**
 	 * Reports the load if it has changed enough or the last report is too old.
-	 * @param entries all entries
 	 * @param running requests that the engine runs
 	 * @param queued requests that are queued at the engine
 	 * @param accepting whether the engine starts new requests
 	 * @param slots slots of the engine, 0 if unknown
 	 */
-	void reportIfChanged(List<EntryRecord> entries, int running, int queued, boolean accepting, int slots) {
+	void reportIfChanged(int running, int queued, boolean accepting, int slots) {
 		Channel openChannel = this.channel;
 		long now = System.nanoTime();
 		int requests = running + queued;
@@ -211,7 +232,7 @@
 		this.reportedAccepting = accepting;
 		this.reportedDelayMs = Math.max(delayMs, latenessMs);
 		this.reportedNanos = now;
-		byte[] bytes = LoadReport.newBuilder()
+		LoadReport report = LoadReport.newBuilder()
 			.setAddress(this.address)
 			.setSequence(++this.sequence)
 			.setLinkDelayMs((int) Math.round(delayMs))
@@ -220,12 +241,15 @@
 				.setRunning(running)
 				.setQueued(queued)
 				.setAdmission((accepting) ? Admission.OPEN : Admission.SWITCHING))
-			.build()
-			.toByteArray();
-		for (EntryRecord entry : entries) {
-			openChannel.write(datagram(bytes, entry));
-		}
+			.build();
+		send(openChannel, report, this.sameRegion);
+		send(openChannel, report.toBuilder().setPassOn(true).build(), this.relays);
 		openChannel.flush();
 	}
 
+	private static void send(Channel channel, LoadReport report, List<InetSocketAddress> recipients) {
+		byte[] bytes = report.toByteArray();
+		recipients.forEach((recipient) -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), recipient)));
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -126,7 +126,7 @@
 		this.transport = new HttpChunkTransport(settings, this.loop, this.engine, this.chunkServer, this.loadReporter,
 				this.manifestCache::origin);
 		this.loadOrders = new LoadOrders(this.engine, log, registry, (state) -> this.loadReporter
-			.reportIfChanged(this.view.entries(), state.runningRequests(), state.queuedRequests(), false, 0));
+			.reportIfChanged(state.runningRequests(), state.queuedRequests(), false, 0));
 		this.operatorServer = new OperatorServer(this.loop, registry, () -> true);
 	}
 
@@ -155,10 +155,11 @@
 			.ifPresent(this.manifestCache::origin);
 		List.copyOf(this.fetches.values()).forEach((fetch) -> stepFetch(service.get(), fetch));
 		List.copyOf(this.prefetches.values()).forEach((fetch) -> stepFetch(service.get(), fetch));
+		this.loadReporter.updateEntries(this.view.entries());
 		this.ticks++;
 		boolean skipEngine = this.idle && this.ticks % IDLE_POLL_TICKS != 0;
 		if (!skipEngine || this.chunkServer.uploadInProgress()) {
-			this.loadReporter.sendProbe(this.view.entries());
+			this.loadReporter.sendProbe();
 			logLinkDelay();
 			this.chunkServer.refuseWhenLinkSlow();
 		}
@@ -240,8 +241,7 @@
 			.mapToInt(TargetRecord::slots)
 			.max()
 			.orElse(0);
-		this.loadReporter.reportIfChanged(this.view.entries(), state.runningRequests(), state.queuedRequests(),
-				!state.loading(), slots);
+		this.loadReporter.reportIfChanged(state.runningRequests(), state.queuedRequests(), !state.loading(), slots);
 		this.idle = true;
 		for (String model : service.models()) {
 			long wanted = Math.max(1, this.view.wantedVersion(model));
