--- a/daemon/src/main/java/org/baobabknot/entry/ErrorResponse.java
+++ b/daemon/src/main/java/org/baobabknot/entry/ErrorResponse.java
@@ -25,6 +25,8 @@
 
 	static final String CONTENT_TYPE = "application/problem+json";
 
+	private static final String UNKNOWN = "unknown";
+
 	private static final long MS_PER_SECOND = 1000;
 
 	private static final long DEFAULT_RETRY_AFTER_MS = 1000;
@@ -38,7 +40,7 @@
 	}
 
 	static ErrorResponse unknownOutcome(String detail) {
-		return new ErrorResponse(HttpResponseStatus.GATEWAY_TIMEOUT, "unknown", detail, 0);
+		return new ErrorResponse(HttpResponseStatus.GATEWAY_TIMEOUT, UNKNOWN, detail, 0);
 	}
 
 	static ErrorResponse failed(String detail) {
@@ -59,6 +61,14 @@
 		return new ErrorResponse(status(reason), "not-run:" + hyphenatedReason, detail, effectiveRetryAfterMs);
 	}
 
+	/**
+	 * Returns the same error without the statement that the request has not run.
+	 * @return the error response, which may not be retried
+	 */
+	ErrorResponse withUnknownOutcome() {
+		return new ErrorResponse(this.status, UNKNOWN, this.detail, 0);
+	}
+
 	FullHttpResponse toHttpResponse(String requestId) {
 		ObjectNode body = JsonNodeFactory.instance.objectNode();
 		body.put("type", "urn:baobabknot:" + this.type);
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -128,13 +128,17 @@
 	}
 
 	/**
-	 * Ends the request because its body is invalid, too long or late.
-	 * @param error error response for the caller
+	 * Ends the request because its body is invalid, too long or late. If its head was
+	 * sent to an agent, the response does not state that the request has not run, because
+	 * the target may have acted on the part of the body that it received.
+	 * @param bodyError error response for the caller
 	 */
-	void rejectBody(ErrorResponse error) {
+	void rejectBody(ErrorResponse bodyError) {
 		if (this.done) {
 			return;
 		}
+		ErrorResponse error = (this.attemptsStarted && !this.request.idempotent()) ? bodyError.withUnknownOutcome()
+				: bodyError;
 		end("refused", "refused by the entry");
 		if (this.responseStarted) {
 			this.caller.abortResponse();
@@ -178,15 +182,17 @@
 	private void startFirstAttempt() {
 		// A request that claims its key is sent with a fingerprint of its body, so the
 		// whole body is read first.
-		if (this.request.claimsKey() && !this.body.ended()) {
+		if (this.request.claimsKey()) {
 			if (this.body.length() > RequestBody.MAX_REPLAY_BYTES) {
 				rejectBody(ErrorResponse.notRun(RefusalReason.OVERSIZED,
 						"body of a request with Idempotency-Key, at most " + RequestBody.MAX_REPLAY_BYTES + " bytes",
 						0));
 				return;
 			}
-			this.caller.readBody();
-			return;
+			if (!this.body.ended()) {
+				this.caller.readBody();
+				return;
+			}
 		}
 		this.attemptsStarted = true;
 		this.forwarder.retryPolicy().requestStarted();
