--- a/daemon/src/test/java/org/baobabknot/gateway/RelayedTargetsTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/RelayedTargetsTests.java
@@ -1,9 +1,15 @@
 package org.baobabknot.gateway;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import org.baobabknot.emulator.EmulatedConfiguration;
+import org.baobabknot.emulator.EmulatedEngine;
 import org.baobabknot.settings.FleetSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,7 +46,9 @@
 	 */
 	private static final long MAX_CHANGE_AFTER_SILENCE_MS = 3_000;
 
-	private static final String PREFIX = "servers/";
+	private final EventLoopGroup engineGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final Map<String, EmulatedEngine> engines = new HashMap<>();
 
 	private final GatewayFleet fleet = new GatewayFleet(LINK_BYTES_PER_SECOND,
 			new FleetSettings.Bounds(2_000, 5_000, 8_000, 8_000, 0.2, 10_000, 200, 1.5, 5, 1_200));
@@ -51,18 +59,20 @@
 		putTarget("t1", "ready");
 		this.fleet.start(GATEWAYS);
 		assertThat(within(SETTLE_MS, () -> allList("t1")), is(true));
-		assertThat(within(SETTLE_MS, () -> this.fleet.store.pendingWatches(PREFIX) == MAX_READERS), is(true));
+		assertThat(within(SETTLE_MS, () -> this.fleet.store.pendingTargetWatches() == MAX_READERS), is(true));
 	}
 
 	@AfterEach
 	void stop() {
 		this.fleet.close();
+		this.engines.values().forEach(EmulatedEngine::close);
+		this.engineGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
 	}
 
 	private void putTarget(String id, String state) {
-		this.fleet.store.putTarget(id,
-				"{\"service\":\"plain\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":4,\"state\":\"" + state
-						+ "\",\"cold_left_ms\":0,\"seq\":1}");
+		EmulatedEngine engine = this.engines.computeIfAbsent(id,
+				(name) -> new EmulatedEngine(this.engineGroup, "127.0.0.1", name, "plain", "a", "", 0));
+		this.fleet.store.putTarget(engine, state);
 	}
 
 	private boolean allList(String id) {
