Count complete events as progress of a stream, not bytes

A target that sent a byte of an unfinished event now and then kept its request until the deadline. Change: a stream makes progress when an event is complete; bytes still show that the target lives. Tests: aTricklingStreamResumesAtAnotherTarget fails without the change (stream incomplete after 5.1 s, the deadline); aSlowStreamIsNotCut shows the other side (pauses of 450 ms of 500 allowed).

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -317,10 +317,11 @@
 	 * @param attempt the attempt
 	 * @param responseHead head of the response
 	 * @param data received bytes of the stream
+	 * @return whether they complete an event
 	 */
-	void streamEvents(TargetAttempt attempt, ResponseHead responseHead, ByteBuf data) {
+	boolean streamEvents(TargetAttempt attempt, ResponseHead responseHead, ByteBuf data) {
 		if (attempt != this.currentAttempt || this.done) {
-			return;
+			return false;
 		}
 		StreamEventParser parser = this.streamEvents;
 		if (parser == null) {
@@ -333,10 +334,11 @@
 			if (parser.pendingBytes() > MAX_EVENT_BYTES) {
 				attempt.abortOversized("an event of more than " + MAX_EVENT_BYTES + " bytes");
 			}
-			return;
+			return false;
 		}
 		startStream(attempt, responseHead);
 		this.connection.sendStreamData(completeEvents);
+		return true;
 	}
 
 	private void startStream(TargetAttempt attempt, ResponseHead responseHead) {
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -80,8 +80,8 @@
 	}
 
 	/**
-	 * Returns the time since the last bytes of this response or, if that is shorter, of
-	 * any response of the target.
+	 * Returns the time since the last progress of this response or, if that is shorter,
+	 * since the last bytes of any response of the target.
 	 * @param nowNanos monotonic time
 	 * @return time in nanoseconds
 	 */
@@ -90,7 +90,9 @@
 	}
 
 	/**
-	 * Returns the time since the last bytes of this response.
+	 * Returns the time since the last progress of this response: complete events of a
+	 * stream, or bytes of any other response. Bytes of an event that does not end are no
+	 * progress, so that a target which sends one now and then counts as silent.
 	 * @param nowNanos monotonic time
 	 * @return time in nanoseconds
 	 */
@@ -128,12 +130,17 @@
 		if (this.done) {
 			return;
 		}
-		recordProgress(System.nanoTime());
+		long now = System.nanoTime();
 		TargetResponseHead currentResponse = Objects.requireNonNull(this.response);
 		if (this.streaming && validSuccess(currentResponse)) {
-			this.request.streamEvents(this, Objects.requireNonNull(this.responseHead), data);
+			this.load.recordProgress(now);
+			if (this.request.streamEvents(this, Objects.requireNonNull(this.responseHead), data)) {
+				this.lastProgressNanos = now;
+			}
+			return;
 		}
-		else if (this.bufferBudget.tryGrow(this.bufferedBody.readableBytes(), data.readableBytes())) {
+		recordProgress(now);
+		if (this.bufferBudget.tryGrow(this.bufferedBody.readableBytes(), data.readableBytes())) {
 			this.bufferedBody.writeBytes(data);
 		}
 		else {
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
@@ -178,6 +178,31 @@
 			assertThat(response.body(), is(eventText(0, 5)));
 		}
 
+		/** A target that sends a byte now and then is as good as silent. */
+		@Test
+		void aTricklingStreamResumesAtAnotherTarget() throws Exception {
+			EmulatedEngine first = addModelTarget("t1", "a");
+			first.trickleFromEvent = 2;
+			EmulatedEngine second = addModelTarget("t2", "b");
+			GatewayTests.this.fixture.start();
+			EmulatedCaller.Response response = GatewayTests.this.fixture.callStream("r1");
+			assertThat(response.complete(), is(true));
+			assertThat(response.body(), is(eventText(0, 5)));
+			assertThat(second.receivedRequests().get(0).lastEventId(), is(1L));
+			GatewayFixture.await(() -> first.runningRequests() == 0);
+		}
+
+		@Test
+		void aSlowStreamIsNotCut() throws Exception {
+			addModelTarget("t1", "a").eventIntervalMs = 450;
+			EmulatedEngine second = addModelTarget("t2", "b");
+			GatewayTests.this.fixture.start();
+			EmulatedCaller.Response response = GatewayTests.this.fixture.callStream("r1");
+			assertThat(response.complete(), is(true));
+			assertThat(response.body(), is(eventText(0, 5)));
+			assertThat(second.receivedRequests().isEmpty(), is(true));
+		}
+
 		@Test
 		void aRequestThatHangsAtABusyTargetIsRetriedAtAnother() throws Exception {
 			EmulatedEngine first = addModelTarget("t1", "a");
