--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -82,6 +83,8 @@
 
 	private boolean flushScheduled;
 
+	private long lastUnwrittenBytes = -1;
+
 	GatewayConnection(Gateway gateway) {
 		this.gateway = gateway;
 		this.pipelined = new PipelinedMessages(gateway.pipelineBudget());
@@ -156,7 +159,11 @@
 	 * @param nowNanos monotonic time
 	 */
 	void checkTimeouts(CallerLimits limits, long nowNanos) {
-		if (this.closing || this.request != null) {
+		if (this.closing) {
+			closeIfUnread(limits, nowNanos);
+			return;
+		}
+		if (this.request != null) {
 			return;
 		}
 		long idleMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - this.idleSinceNanos);
@@ -170,6 +177,20 @@
 			}
 		}
 		else if (idleMs > limits.idleTimeoutMs()) {
+			closeAfterWrites();
+		}
+	}
+
+	// A caller may read a response slowly, but not stop reading for longer than it may be
+	// idle.
+	private void closeIfUnread(CallerLimits limits, long nowNanos) {
+		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
+		long unwritten = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		if (unwritten != this.lastUnwrittenBytes) {
+			this.lastUnwrittenBytes = unwritten;
+			this.idleSinceNanos = nowNanos;
+		}
+		else if (TimeUnit.NANOSECONDS.toMillis(nowNanos - this.idleSinceNanos) > limits.idleTimeoutMs()) {
 			close();
 		}
 	}
@@ -179,17 +200,20 @@
 	 */
 	void drain() {
 		this.draining = true;
-		if (this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete) {
-			close();
+		if (this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete
+				&& !this.closing) {
+			closeAfterWrites();
 		}
 	}
 
 	/**
-	 * Tells whether a request is open or being received.
+	 * Tells whether a request is open or being received, or a response is not yet passed
+	 * to the network, so that the end of this process would cut it off.
 	 * @return false if the connection is idle
 	 */
 	boolean busy() {
-		return this.request != null || this.head != null;
+		return this.request != null || this.head != null || this.headIncomplete || !this.pipelined.isEmpty()
+				|| this.closing;
 	}
 
 	private void handle(Object message) {
