--- a/daemon/src/test/java/org/baobabknot/settings/FleetSettingsTests.java
+++ b/daemon/src/test/java/org/baobabknot/settings/FleetSettingsTests.java
@@ -30,8 +30,9 @@
 			Map.entry("bounds.grace_s", "8"), Map.entry("bounds.retry_budget_ratio", "0.2"),
 			Map.entry("bounds.budget_window_s", "10"), Map.entry("bounds.budget_min_retries", "234"),
 			Map.entry("bounds.cold_overshoot", "1.5"), Map.entry("bounds.cold_slack", "5"),
-			Map.entry("limits.max_fds", "2069"), Map.entry("limits.link_mbps", "489.99"),
-			Map.entry("app|json", "\"10.0.0.1:8001\""), Map.entry("service|json", "\"s1\""));
+			Map.entry("heartbeat_ms", "1200"), Map.entry("limits.max_fds", "2069"),
+			Map.entry("limits.link_mbps", "489.99"), Map.entry("app|json", "\"10.0.0.1:8001\""),
+			Map.entry("service|json", "\"s1\""));
 
 	@TempDir
 	private Path directory;
