--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -86,9 +86,9 @@
 
 	/**
 	 * Time before the deadline for a new version at which older versions get no more
-	 * requests: 500 ms to read a change while many arrive, plus the time to first byte.
+	 * requests: the time to first byte of a busy target.
 	 */
-	private static final long VERSION_MARGIN_MS = 800;
+	private static final long VERSION_MARGIN_MS = 400;
 
 	/** Fraction of the allowed retries that all processes use together. */
 	private static final double RETRY_BUDGET_RATIO = 0.8;
--- a/daemon/src/test/java/org/baobabknot/relay/RelayedFleetFeedTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/RelayedFleetFeedTests.java
@@ -25,6 +25,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Tests of the {@link FleetFeed} of a gateway that reads values from another process.
@@ -173,6 +174,32 @@
 		feed.stop();
 	}
 
+	/**
+	 * Guards against requests that begin on an older version too long after a newer one
+	 * was announced, because this process learned of it late.
+	 */
+	@Test
+	void aVersionCountsFromTheLastConfirmationBeforeItWasRead() throws Exception {
+		this.store.putConfiguration(new EmulatedConfiguration(1).plainService("plain"));
+		String[] address = this.store.address().split(":");
+		StoreClient client = new StoreClient(this.loop, address[0], Integer.parseInt(address[1]),
+				StoreClient.Observer.NONE);
+		FleetFeed feed = FleetFeed.forGateway(client, ItemRelay.NONE, ItemRelay.NONE, this.view, this.loop, 1_000,
+				8_000, HEARTBEAT_MS, (kind, detail) -> {
+				});
+		feed.start();
+		assertThat(within(5_000, feed::isConnected), is(true));
+		Thread.sleep(STARTUP_MS);
+		this.store.dropWatchesSilently();
+		long announcedNanos = System.nanoTime();
+		this.store.announceVersion("m", 2);
+		assertThat(within(5_000, () -> this.view.wantedVersion("m") == 2), is(true));
+		long sinceNanos = this.loop.submit(() -> this.view.wantedSince("m", 1).orElseThrow()).get();
+		long lateMs = TimeUnit.NANOSECONDS.toMillis(sinceNanos - announcedNanos);
+		assertThat("ms counted from after the announcement", lateMs, is(lessThanOrEqualTo(0L)));
+		feed.stop();
+	}
+
 	/** Relay from a process whose connection to the store can be cut. */
 	private final class Source implements ItemRelay {
 
