--- a/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
@@ -133,8 +133,7 @@
 		// Without the store there are no changes to wait for. An immediate response lets
 		// the caller use another source.
 		boolean disconnected = !snapshot.connected();
-		boolean changed = !snapshot.changedItems().isEmpty()
-				|| !snapshot.presentRevisions().keySet().containsAll(pull.request.getKnownMap().keySet());
+		boolean changed = !snapshot.changedItems().isEmpty() || lacksKnownItem(snapshot, pull.request.getKnownMap());
 		boolean respondNow = snapshot.revision() > 0 && (changed || fresher || disconnected);
 		if (respondNow || pull.request.getWaitMs() == 0 || this.waitingPulls.size() >= MAX_WAITING_PULLS) {
 			pull.respond(snapshot);
@@ -148,6 +147,16 @@
 		}, pull.request.getWaitMs(), TimeUnit.MILLISECONDS);
 	}
 
+	// An item that the caller has and that is newer than the values here was created
+	// since,
+	// not removed.
+	private static boolean lacksKnownItem(ItemSnapshot snapshot, Map<String, Long> known) {
+		return known.entrySet()
+			.stream()
+			.anyMatch((item) -> item.getValue() <= snapshot.revision()
+					&& !snapshot.presentRevisions().containsKey(item.getKey()));
+	}
+
 	private ByteString compressed(StoreClient.Item item, byte[] value) {
 		CompressedValue cached = this.compressed.get(item.key());
 		if (cached == null || cached.revision() != item.revision()) {
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -162,6 +162,25 @@
 			assertThat(pendingPoll.get(2, TimeUnit.SECONDS).orElseThrow().revision(), is(6L));
 		}
 
+		/**
+		 * Guards against pulls that follow each other without a pause when the source is
+		 * behind the process that follows it.
+		 */
+		@Test
+		void areImmediateForARemovalButNotForAnItemThatIsNewerThanTheSource() throws Exception {
+			int port = TestPorts.findFree();
+			EventLoop serverLoop = ValueRelayTests.this.loop;
+			ItemSnapshot empty = new ItemSnapshot(4, Map.of(), List.of(), true, 10);
+			new ValueServer(serverLoop, (prefix, knownRevisions) -> empty).bind("127.0.0.1", port)
+				.get(5, TimeUnit.SECONDS);
+			ValueRelay relay = relayOf(new EntryRecord("e", "a", "127.0.0.1", port));
+			var newer = serverLoop.submit(() -> relay.poll("", Map.of("k", 6L), 3_000, 50)).get();
+			Thread.sleep(300);
+			assertThat(newer.isDone(), is(false));
+			var removed = serverLoop.submit(() -> relay.poll("", Map.of("k", 3L), 3_000, 50)).get();
+			assertThat(removed.get(1, TimeUnit.SECONDS).orElseThrow().presentRevisions().isEmpty(), is(true));
+		}
+
 		@Test
 		void thatCannotBeDecodedCountAsFailures() throws Exception {
 			try (EmulatedServer broken = new EmulatedServer(ValueRelayTests.this.group, "127.0.0.1") {
