Log the parts of a prompt and the events received with each failed attempt

The lines of a failed attempt could not tell a request that ends engines from one that ran beside it: they had neither the parts of the prompt nor the events that the caller had received. No decision changes.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -101,7 +101,7 @@
 		this.gateway = gateway;
 		this.connection = connection;
 		this.head = head;
-		this.log = new RequestLog(gateway, head.requestId());
+		this.log = new RequestLog(gateway, head);
 		this.headers = headers;
 		this.body = body;
 	}
@@ -222,7 +222,7 @@
 				.recordResponseLoad(Math.max(attempt.target().slots() * 2, (int) attempt.load().estimatedRequests(now)),
 						now);
 		}
-		this.log.attemptFailed(attempt, reason);
+		this.log.attemptFailed(attempt, reason, eventCount());
 		this.attempts--;
 		this.attemptsNotRun++;
 		if (this.attemptsNotRun > MAX_ATTEMPTS_NOT_RUN || !mayRetry()) {
@@ -244,10 +244,15 @@
 		this.currentAttempt = null;
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
-		this.log.attemptFailed(attempt, failure.toString());
+		this.log.attemptFailed(attempt, failure.toString(), eventCount());
 		retryOrGiveUp(failure.toString());
 	}
 
+	private int eventCount() {
+		StreamEventParser parser = this.streamEvents;
+		return (parser != null) ? parser.eventCount() : 0;
+	}
+
 	private void retryOrGiveUp(String reason) {
 		Route route = route();
 		StreamEventParser parser = this.streamEvents;
@@ -288,7 +293,7 @@
 		if (serverError) {
 			this.mayHaveRun = true;
 			attempt.load().recordFailure(now);
-			this.log.attemptFailed(attempt, "status " + response.status());
+			this.log.attemptFailed(attempt, "status " + response.status(), eventCount());
 			if (this.streaming) {
 				this.currentAttempt = null;
 				retryOrGiveUp("status " + response.status());
@@ -478,11 +483,10 @@
 		this.done = true;
 		this.currentAttempt = null;
 		long durationMs = (System.nanoTime() - this.arrivedNanos) / NANOS_PER_MS;
-		StreamEventParser parser = this.streamEvents;
 		RequestAdmission.Admitted admitted = this.admission;
 		this.gateway.requestCompleted(this, outcome, durationMs);
 		this.log.requestEnded(new RequestLog.Summary(outcome, detail, (admitted != null) ? admitted.route().name() : "",
-				this.attempts + this.attemptsNotRun, (parser != null) ? parser.eventCount() : 0, durationMs,
+				this.attempts + this.attemptsNotRun, eventCount(), durationMs,
 				(admitted != null) ? admitted.urgency() : -1), this.head, lastAttempt);
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -1,5 +1,8 @@
 package org.baobabknot.gateway;
 
+import java.util.List;
+import java.util.stream.Collectors;
+
 import org.baobabknot.fleet.FleetConfiguration;
 import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.provider.CallerRequestHead;
@@ -12,16 +15,28 @@
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
+	/** Parts of a prompt in one line; the header of a caller may name thousands. */
+	private static final int MAX_LOGGED_PARTS = 8;
+
 	private final Gateway gateway;
 
 	private final String requestId;
 
-	RequestLog(Gateway gateway, String requestId) {
+	private final List<Long> sharedParts;
+
+	RequestLog(Gateway gateway, CallerRequestHead head) {
 		this.gateway = gateway;
-		this.requestId = requestId;
+		this.requestId = head.requestId();
+		this.sharedParts = head.sharedParts();
 	}
 
-	void attemptFailed(TargetAttempt attempt, String reason) {
+	/**
+	 * Logs a failed attempt.
+	 * @param attempt the attempt
+	 * @param reason cause of the failure
+	 * @param events events that the caller had received before
+	 */
+	void attemptFailed(TargetAttempt attempt, String reason, int events) {
 		long now = System.nanoTime();
 		this.gateway.log()
 			.line(DecisionLog.Importance.FAILURE, "attempt-failed")
@@ -34,9 +49,18 @@
 			.with("lagMs", Math.round(attempt.load().lagMs(now)))
 			.with("linkMs", Math.round(attempt.load().linkDelayMs(now)))
 			.with("afterMs", (now - attempt.sentNanos()) / NANOS_PER_MS)
+			.with("events", events)
+			.with("parts", parts())
 			.write();
 	}
 
+	private String parts() {
+		return this.sharedParts.stream()
+			.limit(MAX_LOGGED_PARTS)
+			.map(Long::toHexString)
+			.collect(Collectors.joining(","));
+	}
+
 	void requestEnded(Summary summary, CallerRequestHead head, @Nullable TargetAttempt lastAttempt) {
 		this.gateway.log()
 			.line((summary.successful()) ? DecisionLog.Importance.SUCCESS : DecisionLog.Importance.FAILURE,
