--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -34,6 +34,9 @@
 
 	final List<Gateway> gateways = new ArrayList<>();
 
+	/** Ports for callers, in the order of the gateways. */
+	final List<Integer> callerPorts = new ArrayList<>();
+
 	GatewayFleet(long linkBytesPerSecond, FleetSettings.Bounds bounds) {
 		this.store.limitBandwidth(linkBytesPerSecond);
 		this.bounds = bounds;
@@ -45,8 +48,10 @@
 	 */
 	void start(int count) {
 		for (int index = 0; index < count; index++) {
+			FleetSettings.HostPort callerAddress = freePort();
+			this.callerPorts.add(callerAddress.port());
 			FleetSettings settings = new FleetSettings(FleetSettings.FleetRole.GATEWAY, "entry-" + index, "a", "ra",
-					Map.of("a", "ra"), "127.0.0.1", Optional.of(freePort()), Optional.of(freePort()),
+					Map.of("a", "ra"), "127.0.0.1", Optional.of(callerAddress), Optional.of(freePort()),
 					GatewayFixture.address(this.store.address()), Optional.empty(), TestPorts.findFree(),
 					TestPorts.findFree(), this.bounds, new FleetSettings.Resources(1_000, 1_000_000));
 			Gateway gateway = new Gateway(settings, this.group,
