Quarantine the part of a prompt under which targets crash

Cause: nothing related a crash to the request under which it happened, and a request whose target crashed was sent to the next one. With the parts logged one part was in a request without any event at each of the eleven first engines that ended, and in none that got an event.

Change: core.quarantine keeps, for each part except a prompt's last, when it was served and in which crashes it was in a request without a response. Two crashes without a response since quarantine it. A crash is a lost connection followed by a refused one, so that resets, freezes and cuts don't count. Entries exchange both records as datagrams. Requests with a quarantined part are rejected (400, no promise), in flight too; one crash lets one request a process through at a time; a request whose parts were not served recently is not repeated after a crash.

--- a/daemon/src/main/java/org/baobabknot/gateway/ErrorResponse.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/ErrorResponse.java
@@ -25,6 +25,16 @@
 		return new ErrorResponse(status, reason, detail, 0);
 	}
 
+	/**
+	 * Creates the response to a request with a quarantined part. It promises nothing
+	 * about whether the request has run, and callers don't retry after it.
+	 * @return the response
+	 */
+	static ErrorResponse harmfulPrompt() {
+		return denied(HttpResponseStatus.BAD_REQUEST, "part-quarantined",
+				"several targets crashed under a part of the prompt");
+	}
+
 	boolean notRun() {
 		return this.status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
 				|| this.status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.Ticker;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.baobabknot.fleet.CallerLimits;
 import org.baobabknot.fleet.EntryRecord;
@@ -52,6 +53,7 @@
 import org.baobabknot.placement.PlacementSettings;
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.protocol.generated.PartReport;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.EntryRegistration;
 import org.baobabknot.provider.FleetFeed;
@@ -154,6 +156,10 @@
 	private final BufferBudget pipelineBudget = new BufferBudget(
 			(long) (Runtime.getRuntime().maxMemory() * PIPELINE_HEAP_RATIO), MAX_PIPELINED_BYTES);
 
+	private final LoadReceiver loadReceiver;
+
+	private final PromptGuard promptGuard;
+
 	private final Placement placement;
 
 	private final RandomGenerator random = new SplittableRandom();
@@ -210,6 +216,10 @@
 		this.feed.onUpdate(this.valueServer::respondToWaiting);
 		this.registration = new EntryRegistration(this.store, this.loop, self);
 		this.targetPool = new TargetPool(this.loop, this.view);
+		this.promptGuard = new PromptGuard(Ticker.systemTicker(), log, this.random, this::otherEntries,
+				this::sendReport, () -> List.copyOf(this.requests).forEach(GatewayRequest::rejectIfQuarantined));
+		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.promptGuard),
+				this::otherEntriesOfRegion);
 		this.placement = new Placement(PlacementSettings.defaults(), this.random);
 		this.loopDelay = new LoopDelayMeter(SWEEP_INTERVAL_MS, registry, log);
 		this.metrics = new GatewayMetrics(registry, log::droppedLines);
@@ -251,13 +261,14 @@
 			});
 		return bound.thenCompose((done) -> this.operatorPort.bind(readinessAddress.host(), readinessAddress.port()))
 			.thenCompose((done) -> this.operatorPort.bind(this.settings.host(), this.settings.metricsPort()))
-			.thenCompose((done) -> new LoadReceiver(this.targetPool, this::otherEntriesOfRegion).bind(this.loop,
-					this.settings.host(), this.settings.peerPort()))
+			.thenCompose((done) -> this.loadReceiver.bind(this.loop, this.settings.host(), this.settings.peerPort()))
 			.thenCompose((done) -> this.valueServer.bind(this.settings.host(), this.settings.peerPort()))
 			.thenRun(() -> {
 				// The processes to follow depend on all entries, including this one.
 				this.registration.start().thenRun(this.feed::start);
 				this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+				this.loop.scheduleAtFixedRate(this.promptGuard::exchange, PromptGuard.EXCHANGE_INTERVAL_MS,
+						PromptGuard.EXCHANGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
 			});
 	}
 
@@ -371,6 +382,29 @@
 		return allowed;
 	}
 
+	PromptGuard promptGuard() {
+		return this.promptGuard;
+	}
+
+	/**
+	 * Finds out whether a target whose connection was lost has crashed.
+	 * @param target the target
+	 * @return whether it has crashed, completed on the event loop
+	 */
+	CompletableFuture<Boolean> hasCrashed(TargetRecord target) {
+		return this.targetPool.pooledTarget(target).crashProbe().hasCrashed();
+	}
+
+	/**
+	 * Returns whether a request with one of some parts of a prompt waits for the first
+	 * byte of its response.
+	 * @param parts the parts
+	 * @return whether there is one
+	 */
+	boolean isInFlight(List<Long> parts) {
+		return this.requests.stream().anyMatch((request) -> request.awaitsResponseWith(parts));
+	}
+
 	GatewayRequest createRequest(GatewayConnection caller, HttpRequest head, byte[] body) {
 		return new GatewayRequest(this, caller, PlatformHeaders.decodeRequest(head), head.headers(), body);
 	}
@@ -530,13 +564,20 @@
 	}
 
 	private List<EntryRecord> otherEntriesOfRegion() {
+		return otherEntries().stream().filter((entry) -> entry.region().equals(this.settings.region())).toList();
+	}
+
+	private List<EntryRecord> otherEntries() {
 		return this.view.entries()
 			.stream()
-			.filter((entry) -> entry.region().equals(this.settings.region())
-					&& !entry.instance().equals(this.settings.instance()))
+			.filter((entry) -> !entry.instance().equals(this.settings.instance()))
 			.toList();
 	}
 
+	private void sendReport(PartReport report, List<EntryRecord> recipients) {
+		this.loadReceiver.send(report, recipients);
+	}
+
 	private void sweep() {
 		long now = System.nanoTime();
 		long wallMs = System.currentTimeMillis();
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -1,7 +1,9 @@
 package org.baobabknot.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +22,7 @@
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
+import org.baobabknot.quarantine.PromptVerdict;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -59,6 +62,12 @@
 	/** Largest event of a stream; typical events have less than 1 kB. */
 	private static final int MAX_EVENT_BYTES = 128 << 10;
 
+	/**
+	 * Time in which a request with a suspected part of a prompt is served or crashes its
+	 * target.
+	 */
+	private static final double SUSPICION_MS = 250;
+
 	/** Objective for the first byte on routes that define none. */
 	private static final long DEFAULT_OBJECTIVE_MS = 1_000;
 
@@ -120,10 +129,47 @@
 		long timeoutMs = admitted.route().timeoutMs();
 		long remainingMs = (this.head.timeoutMs() >= 0) ? Math.min(this.head.timeoutMs(), timeoutMs) : timeoutMs;
 		this.deadlineNanos = this.arrivedNanos + remainingMs * NANOS_PER_MS;
+		PromptGuard guard = this.gateway.promptGuard();
+		List<Long> parts = this.head.sharedParts();
+		Optional<ErrorResponse> refusal = guard.refusal(parts, this.gateway.isInFlight(guard.suspectedParts(parts)),
+				() -> retryAfterMs(RetryAfter.LATER, SUSPICION_MS));
+		if (refusal.isPresent()) {
+			sendError(refusal.get());
+			return;
+		}
 		this.gateway.requestAdmitted(this, admitted.service().name());
 		startAttempt();
 	}
 
+	/**
+	 * Returns whether the request waits for the first byte of its response and has one of
+	 * some parts in its prompt.
+	 * @param parts the parts
+	 * @return whether it has
+	 */
+	boolean awaitsResponseWith(List<Long> parts) {
+		TargetAttempt attempt = this.currentAttempt;
+		return attempt != null && !attempt.responseStarted()
+				&& parts.stream().anyMatch(this.head.sharedParts()::contains);
+	}
+
+	/**
+	 * Ends the request if a part of its prompt was quarantined and no target has
+	 * responded to it. The work of its target is cancelled, which can keep the target
+	 * from crashing.
+	 */
+	void rejectIfQuarantined() {
+		if (this.done || this.streaming
+				|| this.gateway.promptGuard().verdict(this.head.sharedParts()) != PromptVerdict.QUARANTINED) {
+			return;
+		}
+		TargetAttempt attempt = this.currentAttempt;
+		if (attempt != null) {
+			attempt.cancel("a part of the prompt was quarantined");
+		}
+		sendError(ErrorResponse.harmfulPrompt());
+	}
+
 	private Route route() {
 		return Objects.requireNonNull(this.admission).route();
 	}
@@ -245,9 +291,30 @@
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), eventCount());
+		if (failure.connectionLost()
+				&& !this.gateway.promptGuard().verdict(this.head.sharedParts()).mayRetryAfterCrash()) {
+			this.gateway.hasCrashed(attempt.target())
+				.thenAccept((crashed) -> suspectedAttemptFailed(attempt, crashed, failure.toString()));
+			return;
+		}
 		retryOrGiveUp(failure.toString());
 	}
 
+	private void suspectedAttemptFailed(TargetAttempt attempt, boolean crashed, String reason) {
+		if (crashed) {
+			this.gateway.promptGuard().recordCrash(attempt.target(), this.head.sharedParts());
+		}
+		if (this.done) {
+			return;
+		}
+		if (crashed) {
+			giveUp(reason);
+		}
+		else {
+			retryOrGiveUp(reason);
+		}
+	}
+
 	private int eventCount() {
 		StreamEventParser parser = this.streamEvents;
 		return (parser != null) ? parser.eventCount() : 0;
@@ -307,6 +374,9 @@
 		}
 		else {
 			attempt.load().recordSuccess(now);
+			if (response.isSuccess()) {
+				this.gateway.promptGuard().recordServed(this.head.sharedParts());
+			}
 			this.gateway.recordLatency(attempt, (now - attempt.sentNanos()) / (double) NANOS_PER_MS, service());
 		}
 		if (this.streaming) {
@@ -341,6 +411,10 @@
 			}
 			return false;
 		}
+		if (!attempt.written()) {
+			attempt.markWritten();
+			this.gateway.promptGuard().recordServed(this.head.sharedParts());
+		}
 		startStream(attempt, responseHead);
 		this.connection.sendStreamData(completeEvents);
 		return true;
--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -14,6 +15,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -22,6 +25,8 @@
 import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.protocol.generated.Admission;
 import org.baobabknot.protocol.generated.LoadReport;
+import org.baobabknot.protocol.generated.PartReport;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Receives the load reports that loaders send as datagrams, and echoes their probes. As a
@@ -49,6 +54,8 @@
 
 	private final Map<String, LoadReport> reportsToPassOn = new LinkedHashMap<>();
 
+	private @Nullable Channel channel;
+
 	/**
 	 * Creates a receiver.
 	 * @param listener receives the reports
@@ -61,25 +68,49 @@
 
 	CompletableFuture<Void> bind(EventLoop loop, String host, int port) {
 		CompletableFuture<Void> bound = new CompletableFuture<>();
-		new Bootstrap().group(loop)
+		ChannelFuture binding = new Bootstrap().group(loop)
 			.channel(NioDatagramChannel.class)
 			.handler(this)
-			.bind(host, port)
-			.addListener((done) -> {
-				if (done.isSuccess()) {
-					bound.complete(null);
-				}
-				else {
-					bound.completeExceptionally(done.cause());
-				}
-			});
+			.bind(host, port);
+		binding.addListener((done) -> {
+			if (done.isSuccess()) {
+				this.channel = binding.channel();
+				bound.complete(null);
+			}
+			else {
+				bound.completeExceptionally(done.cause());
+			}
+		});
 		return bound;
 	}
 
+	/**
+	 * Sends evidence about parts of prompts. Does nothing before the port is bound.
+	 * @param report the evidence
+	 * @param recipients the entries that receive it
+	 */
+	void send(PartReport report, List<EntryRecord> recipients) {
+		Channel boundChannel = this.channel;
+		if (boundChannel != null) {
+			recipients.forEach((recipient) -> send(boundChannel, report,
+					new InetSocketAddress(recipient.host(), recipient.port())));
+		}
+	}
+
+	private static void send(Channel channel, PartReport report, InetSocketAddress recipient) {
+		byte[] bytes = LoadReport.newBuilder().setParts(report).build().toByteArray();
+		channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), recipient));
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 		try {
 			LoadReport report = LoadReport.parseFrom(ByteBufUtil.getBytes(packet.content()));
+			if (report.hasParts()) {
+				this.listener.partsReported(report.getParts(),
+						(response) -> send(context.channel(), response, packet.sender()));
+				return;
+			}
 			if (report.getProbe() != 0) {
 				echoProbe(context, packet, report);
 				return;
@@ -171,6 +202,13 @@
 		 */
 		double lateMs(String address);
 
+		/**
+		 * Called for each report about parts of prompts.
+		 * @param report the report
+		 * @param reply sends a report back to the sender
+		 */
+		void partsReported(PartReport report, Consumer<PartReport> reply);
+
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gateway/PeerReports.java
@@ -0,0 +1,30 @@
+package org.baobabknot.gateway;
+
+import java.util.function.Consumer;
+
+import org.baobabknot.protocol.generated.PartReport;
+
+/**
+ * Passes the datagrams of other processes on to the state that they update.
+ *
+ * @param targetPool load of the targets
+ * @param promptGuard evidence about parts of prompts
+ */
+record PeerReports(TargetPool targetPool, PromptGuard promptGuard) implements LoadReceiver.Listener {
+
+	@Override
+	public void loadReported(String address, int requests, boolean acceptsRequests, int linkDelayMs, int lateMs) {
+		this.targetPool.loadReported(address, requests, acceptsRequests, linkDelayMs, lateMs);
+	}
+
+	@Override
+	public double lateMs(String address) {
+		return this.targetPool.lateMs(address);
+	}
+
+	@Override
+	public void partsReported(PartReport report, Consumer<PartReport> reply) {
+		this.promptGuard.handle(report, reply);
+	}
+
+}
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -10,6 +10,7 @@
  * @param startedAtMs start of the target in ms since 1970
  * @param client client with the connections
  * @param load load and health of the target
+ * @param crashProbe finds out whether the target has crashed
  */
-record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load) {
+record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe) {
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -46,6 +46,8 @@
 
 	private long lastProgressNanos;
 
+	private boolean written;
+
 	private boolean done;
 
 	TargetAttempt(GatewayRequest request, BufferBudget bufferBudget, TargetRecord target, TargetLoad load,
@@ -100,6 +102,17 @@
 		return nowNanos - this.lastProgressNanos;
 	}
 
+	boolean written() {
+		return this.written;
+	}
+
+	/**
+	 * Records that the target has written a complete event.
+	 */
+	void markWritten() {
+		this.written = true;
+	}
+
 	boolean responseStarted() {
 		return this.responseHead != null;
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -20,7 +20,7 @@
  * between two starts of a target or two targets, because an address may be reused.
  * Confined to one event loop.
  */
-final class TargetPool implements LoadReceiver.Listener {
+final class TargetPool {
 
 	/** Fraction of the connections of a target that all entries together may open. */
 	private static final double MAX_CONNECTIONS_RATIO = 0.9;
@@ -61,10 +61,12 @@
 		if (existing != null) {
 			existing.client().close();
 		}
-		PooledTarget created = new PooledTarget(target.address(), target.startedMs(),
-				new HttpClient(this.group, target.host(), target.port(), new HttpClientSettings(maxConnections(target),
-						CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES, MAX_BODY_BYTES, true), ConnectionHook.NONE),
-				new TargetLoad());
+		HttpClient client = new HttpClient(this.group, target.host(), target.port(),
+				new HttpClientSettings(maxConnections(target), CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES,
+						MAX_BODY_BYTES, true),
+				ConnectionHook.NONE);
+		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client, new TargetLoad(),
+				new CrashProbe(client));
 		this.pooledTargets.put(target.id(), created);
 		this.byAddress.put(created.address(), created);
 		return created;
@@ -99,14 +101,12 @@
 		return Optional.ofNullable(this.byAddress.get(address));
 	}
 
-	@Override
-	public void loadReported(String address, int requests, boolean acceptsRequests, int linkDelayMs, int lateMs) {
+	void loadReported(String address, int requests, boolean acceptsRequests, int linkDelayMs, int lateMs) {
 		findByAddress(address).ifPresent((pooledTarget) -> pooledTarget.load()
 			.loaderReportedRequests(requests, acceptsRequests, linkDelayMs, lateMs, System.nanoTime()));
 	}
 
-	@Override
-	public double lateMs(String address) {
+	double lateMs(String address) {
 		return findByAddress(address).map((pooledTarget) -> pooledTarget.load().unconfirmedMs(System.nanoTime()))
 			.orElse(0.0);
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -19,6 +20,7 @@
 import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.protocol.generated.Load;
 import org.baobabknot.protocol.generated.LoadReport;
+import org.baobabknot.protocol.generated.PartReport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -64,6 +66,11 @@
 			public double lateMs(String address) {
 				return 0;
 			}
+
+			@Override
+			public void partsReported(PartReport report, Consumer<PartReport> reply) {
+				throw new AssertionError("no report about parts is sent");
+			}
 		}, () -> List.of(otherEntry)).bind(this.group.next(), "127.0.0.1", this.port).get(5, TimeUnit.SECONDS);
 	}
 
