--- a/core/src/main/java/org/baobabknot/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/baobabknot/quarantine/PartQuarantine.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.stream.Collectors;
 
 /**
  * What a process knows about the parts of prompts: when they were served, and in which
@@ -172,6 +174,19 @@
 		return parts.stream().filter((part) -> verdict(part, nowNanos) == verdict).toList();
 	}
 
+	/**
+	 * Returns all quarantined parts.
+	 * @param nowNanos monotonic time
+	 * @return their ids
+	 */
+	public Set<Long> quarantinedParts(long nowNanos) {
+		return this.suspicions.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().verdict(nowNanos) == PromptVerdict.QUARANTINED)
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Returns whether any part is suspected or quarantined.
 	 * @return whether there is evidence to send to other processes
--- a/daemon/src/main/java/org/baobabknot/gateway/PromptGuard.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PromptGuard.java
@@ -62,6 +62,9 @@
 	/** Suspected parts of which this process sent the first evidence. */
 	private final Set<Long> announcedParts = new HashSet<>();
 
+	/** Parts whose quarantine was reported. */
+	private Set<Long> quarantinedParts = Set.of();
+
 	private int exchanges;
 
 	/**
@@ -146,7 +149,7 @@
 			.with("parts", hex(addedParts))
 			.write();
 		this.sender.accept(report(added), this.otherEntries.get());
-		reportQuarantined(addedParts);
+		reportQuarantined();
 	}
 
 	/**
@@ -176,7 +179,7 @@
 		if (response.getServedCount() + response.getCrashesCount() > 0) {
 			reply.accept(response.build());
 		}
-		reportQuarantined(report.getCrashesList().stream().map(PartCrash::getPart).distinct().toList());
+		reportQuarantined();
 	}
 
 	/**
@@ -194,10 +197,12 @@
 				List.of(others.get(this.random.nextInt(others.size()))));
 	}
 
-	private void reportQuarantined(List<Long> parts) {
-		List<Long> quarantined = this.quarantine.partsWith(parts, PromptVerdict.QUARANTINED, this.ticker.nanoTime());
-		if (!quarantined.isEmpty()) {
-			logParts("parts-quarantined", quarantined);
+	private void reportQuarantined() {
+		Set<Long> quarantined = this.quarantine.quarantinedParts(this.ticker.nanoTime());
+		List<Long> added = quarantined.stream().filter((part) -> !this.quarantinedParts.contains(part)).toList();
+		this.quarantinedParts = quarantined;
+		if (!added.isEmpty()) {
+			logParts("parts-quarantined", added);
 			this.onQuarantine.run();
 		}
 	}
