Heed what targets state in their answers: leaving, and asking for rest

Cause: Server-Leaving and an engine's Retry-After were not read. A gateway sent requests to a leaving target until the list said so, and to one that asked for rest as soon as its load allowed it.

Change: StatedAvailability in core.placement keeps both for one start of a target, whatever lists and reports say later, also after its registration was removed and came back. Requests that wait for a connection to such a target are withdrawn. When all targets rest, the request is refused at once with a time after the first rest, spread over callers (RetryAfter.AFTER_REST). A response of another target at the address states nothing.

--- a/core/src/main/java/org/baobabknot/placement/Placement.java
+++ b/core/src/main/java/org/baobabknot/placement/Placement.java
@@ -87,10 +87,17 @@
 	 */
 	public PlacementResult choose(List<Candidate> all, RequestEstimate estimate, double coldRatePerSecond, int senders,
 			long nowNanos) {
-		List<Candidate> reachable = reachable(all, nowNanos);
-		if (reachable.isEmpty() && !all.isEmpty()) {
+		List<Candidate> staying = all.stream().filter((each) -> !each.load().availability().leaving()).toList();
+		List<Candidate> available = staying.stream()
+			.filter((each) -> each.load().availability().acceptsRequests(nowNanos))
+			.toList();
+		if (available.isEmpty() && !staying.isEmpty()) {
+			return new PlacementResult.TargetsResting(minRestMs(staying, nowNanos));
+		}
+		List<Candidate> reachable = reachable(available, nowNanos);
+		if (reachable.isEmpty() && !available.isEmpty()) {
 			return new PlacementResult.TargetsBusy(
-					all.stream().mapToDouble((candidate) -> candidate.load().linkDelayMs(nowNanos)).min().orElse(0));
+					available.stream().mapToDouble((each) -> each.load().linkDelayMs(nowNanos)).min().orElse(0));
 		}
 		List<Candidate> candidates = withoutLag(reachable, nowNanos);
 		double freeSlotRatio = freeSlotRatio(candidates, estimate, nowNanos);
@@ -104,6 +111,10 @@
 				? best(candidates, estimate, coldRatePerSecond, senders, nowNanos) : result;
 	}
 
+	private static long minRestMs(List<Candidate> resting, long nowNanos) {
+		return resting.stream().mapToLong((each) -> each.load().availability().restLeftMs(nowNanos)).min().orElse(0);
+	}
+
 	private static List<Candidate> reachable(List<Candidate> all, long nowNanos) {
 		List<Candidate> preferred = withinLinkDelay(all, MAX_PREFERRED_LINK_DELAY_MS, nowNanos);
 		return (preferred.isEmpty()) ? withinLinkDelay(all, MAX_LINK_DELAY_MS, nowNanos) : preferred;
--- a/core/src/main/java/org/baobabknot/placement/PlacementResult.java
+++ b/core/src/main/java/org/baobabknot/placement/PlacementResult.java
@@ -22,6 +22,14 @@
 	record TargetsBusy(double waitMs) implements PlacementResult {
 	}
 
+	/**
+	 * The request is refused because all targets have asked for a rest.
+	 *
+	 * @param waitMs time until the first of them accepts requests again, in ms
+	 */
+	record TargetsResting(long waitMs) implements PlacementResult {
+	}
+
 	/**
 	 * The request may be sent to no target.
 	 */
--- a/core/src/main/java/org/baobabknot/placement/RetryAfter.java
+++ b/core/src/main/java/org/baobabknot/placement/RetryAfter.java
@@ -32,6 +32,19 @@
 			double soonest = Math.min(most * SPREAD_START_RATIO, Math.max(MIN_DELAY_MS, waitMs));
 			return Math.max(1, Math.round(soonest + random.nextDouble() * (most - soonest)));
 		}
+	},
+
+	/**
+	 * All targets have asked for a rest. A retry before its end is refused again, so
+	 * callers retry after it, or as late as leaves time for the retry to complete.
+	 */
+	AFTER_REST {
+		@Override
+		public long delayMs(double waitMs, long leftMs, RandomGenerator random) {
+			long most = maxDelayMs(leftMs);
+			double soonest = Math.min(most, Math.max(MIN_DELAY_MS, waitMs));
+			return Math.max(1, Math.round(soonest + random.nextDouble() * (most - soonest)));
+		}
 	};
 
 	/** Time that a load balancer needs to pass a new connection to another process. */
--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -53,6 +53,8 @@
 
 	private final ColdRateLimiter coldRateLimiter = new ColdRateLimiter();
 
+	private final StatedAvailability availability;
+
 	private final Map<Object, ExpectedFirstByte> awaitingFirstByte = new LinkedHashMap<>();
 
 	private double lagMs;
@@ -101,6 +103,29 @@
 
 	private long version;
 
+	/**
+	 * Creates the state of a target that has stated nothing.
+	 */
+	public TargetLoad() {
+		this(new StatedAvailability());
+	}
+
+	/**
+	 * Creates the state of a target.
+	 * @param availability what this start of the target has stated before
+	 */
+	public TargetLoad(StatedAvailability availability) {
+		this.availability = availability;
+	}
+
+	/**
+	 * Returns what the target has stated about itself.
+	 * @return its statements
+	 */
+	public StatedAvailability availability() {
+		return this.availability;
+	}
+
 	/**
 	 * Counts a request that is sent to the target.
 	 * @param nowNanos monotonic time
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -386,13 +386,8 @@
 		return this.promptGuard;
 	}
 
-	/**
-	 * Finds out whether a target whose connection was lost has crashed.
-	 * @param target the target
-	 * @return whether it has crashed, completed on the event loop
-	 */
-	CompletableFuture<Boolean> hasCrashed(TargetRecord target) {
-		return this.targetPool.pooledTarget(target).crashProbe().hasCrashed();
+	PooledTarget pooledTarget(TargetRecord target) {
+		return this.targetPool.pooledTarget(target);
 	}
 
 	/**
@@ -515,7 +510,7 @@
 		Duration timeout = Duration.ofMillis(remainingMs + 1_000);
 		HttpCall call = new HttpCall(head.method(), head.path(),
 				PlatformHeaders.targetHeaders(callerHeaders, targetHead), timeout, timeout, body.length);
-		HttpExchange exchange = this.targetPool.pooledTarget(attempt.target()).client().open(call, attempt);
+		HttpExchange exchange = attempt.pooledTarget().client().open(call, attempt);
 		attempt.exchange(exchange);
 		if (body.length > 0) {
 			exchange.write(Unpooled.wrappedBuffer(body));
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -14,6 +14,7 @@
 import org.baobabknot.fleet.RequestKind;
 import org.baobabknot.fleet.Route;
 import org.baobabknot.fleet.ServiceDefinition;
+import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.httpclient.HttpFailure;
 import org.baobabknot.httpclient.ResponseHead;
 import org.baobabknot.placement.PlacementResult;
@@ -193,19 +194,26 @@
 			send(chosen, remainingMs, now);
 		}
 		else if (result instanceof PlacementResult.TargetsBusy busy) {
-			if (this.mayHaveRun || this.streaming) {
-				giveUp("all targets are busy");
-			}
-			else {
-				sendError(ErrorResponse.notRun("busy", "predicted wait " + Math.round(busy.waitMs()) + " ms",
-						retryAfterMs(RetryAfter.LATER, busy.waitMs())));
-			}
+			refuse("busy", "predicted wait " + Math.round(busy.waitMs()) + " ms", RetryAfter.LATER, busy.waitMs());
+		}
+		else if (result instanceof PlacementResult.TargetsResting resting) {
+			refuse("resting", "all targets rest for " + resting.waitMs() + " ms", RetryAfter.AFTER_REST,
+					resting.waitMs());
 		}
 		else {
 			giveUp("no target of " + service.name() + " is available");
 		}
 	}
 
+	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
+		if (this.mayHaveRun || this.streaming) {
+			giveUp("all targets are " + reason);
+		}
+		else {
+			sendError(ErrorResponse.notRun(reason, detail, retryAfterMs(policy, waitMs)));
+		}
+	}
+
 	private RequestEstimate work(Route route, ServiceDefinition service, long now, long remainingMs) {
 		EngineSpeed pace = service.engineSpeed();
 		double objectiveMs = objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
@@ -231,11 +239,12 @@
 	private void send(PlacementResult.TargetChosen chosen, long remainingMs, long now) {
 		Route route = route();
 		boolean expectsStream = route.kind() == RequestKind.STREAM;
-		TargetAttempt attempt = new TargetAttempt(this, this.gateway.responseBudget(), chosen.candidate().target(),
-				chosen.candidate().load(), this.head.requestId(), expectsStream, chosen.predictedMs(), now);
+		TargetRecord target = chosen.candidate().target();
+		TargetAttempt attempt = new TargetAttempt(this, this.gateway.responseBudget(), target,
+				this.gateway.pooledTarget(target), this.head.requestId(), expectsStream, chosen.predictedMs(), now);
 		this.currentAttempt = attempt;
 		this.attempts++;
-		this.triedTargets.add(chosen.candidate().target().id());
+		this.triedTargets.add(target.id());
 		StreamEventParser parser = this.streamEvents;
 		long resumeAfter = (parser != null && parser.eventCount() > 0) ? parser.lastEventId() : -1;
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
@@ -293,7 +302,9 @@
 		this.log.attemptFailed(attempt, failure.toString(), eventCount());
 		if (failure.connectionLost()
 				&& !this.gateway.promptGuard().verdict(this.head.sharedParts()).mayRetryAfterCrash()) {
-			this.gateway.hasCrashed(attempt.target())
+			attempt.pooledTarget()
+				.crashProbe()
+				.hasCrashed()
 				.thenAccept((crashed) -> suspectedAttemptFailed(attempt, crashed, failure.toString()));
 			return;
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -2,9 +2,10 @@
 
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.placement.TargetLoad;
+import org.baobabknot.provider.TargetResponseHead;
 
 /**
- * Connections and load of one target.
+ * Connections and load of one start of a target.
  *
  * @param address remote address of the connections
  * @param startedAtMs start of the target in ms since 1970
@@ -13,4 +14,25 @@
  * @param crashProbe finds out whether the target has crashed
  */
 record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe) {
+
+	/**
+	 * Records what the target states about itself in a response. Requests that wait for a
+	 * connection to a target which accepts none any more go to other targets.
+	 * @param response head of the response; of one whose address belongs to another
+	 * target, nothing is recorded
+	 * @param nowNanos monotonic time
+	 */
+	void recordStatements(TargetResponseHead response, long nowNanos) {
+		if (response.misdirected()) {
+			return;
+		}
+		if (response.leaving()) {
+			this.load.availability().recordLeaving();
+		}
+		this.load.availability().recordRest(response.restMs(), nowNanos);
+		if (!this.load.availability().acceptsRequests(nowNanos)) {
+			this.client.withdrawWaiting("the target leaves or rests");
+		}
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -26,6 +26,8 @@
 
 	private final TargetRecord target;
 
+	private final PooledTarget pooledTarget;
+
 	private final TargetLoad load;
 
 	private final String requestId;
@@ -50,19 +52,20 @@
 
 	private boolean done;
 
-	TargetAttempt(GatewayRequest request, BufferBudget bufferBudget, TargetRecord target, TargetLoad load,
+	TargetAttempt(GatewayRequest request, BufferBudget bufferBudget, TargetRecord target, PooledTarget pooledTarget,
 			String requestId, boolean streaming, double predictedMs, long sentNanos) {
 		this.request = request;
 		this.bufferBudget = bufferBudget;
 		this.target = target;
-		this.load = load;
+		this.pooledTarget = pooledTarget;
+		this.load = pooledTarget.load();
 		this.requestId = requestId;
 		this.streaming = streaming;
 		this.predictedMs = predictedMs;
 		this.sentNanos = sentNanos;
 		this.lastProgressNanos = sentNanos;
-		load.recordSent(sentNanos);
-		load.expectFirstByte(this, predictedMs, sentNanos);
+		this.load.recordSent(sentNanos);
+		this.load.expectFirstByte(this, predictedMs, sentNanos);
 	}
 
 	void exchange(HttpExchange newExchange) {
@@ -73,6 +76,10 @@
 		return this.target;
 	}
 
+	PooledTarget pooledTarget() {
+		return this.pooledTarget;
+	}
+
 	TargetLoad load() {
 		return this.load;
 	}
@@ -134,6 +141,7 @@
 			this.load.recordResponseLoad(
 					receivedResponse.runningRequests() + Math.max(0, receivedResponse.queuedRequests()), now);
 		}
+		this.pooledTarget.recordStatements(receivedResponse, now);
 		this.load.version(receivedResponse.version());
 		this.load.recordFirstByte(this, now);
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -13,6 +14,7 @@
 import org.baobabknot.httpclient.ConnectionHook;
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.httpclient.HttpClientSettings;
+import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
 
 /**
@@ -30,6 +32,8 @@
 
 	private static final Duration MAX_IDLE = Duration.ofSeconds(12);
 
+	private static final int MAX_RETAINED = 1_024;
+
 	private static final int MAX_HEAD_BYTES = 32 << 10;
 
 	private static final int MAX_BODY_BYTES = 8 << 20;
@@ -42,6 +46,14 @@
 
 	private final Map<String, PooledTarget> byAddress = new HashMap<>();
 
+	/** Statements of starts of targets that are not in use, the newest ones. */
+	private final Map<String, StatedAvailability> retained = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, StatedAvailability> eldest) {
+			return size() > MAX_RETAINED;
+		}
+	};
+
 	TargetPool(EventLoopGroup group, FleetView view) {
 		this.group = group;
 		this.view = view;
@@ -60,13 +72,16 @@
 		}
 		if (existing != null) {
 			existing.client().close();
+			retainStatements(target.id(), existing);
 		}
 		HttpClient client = new HttpClient(this.group, target.host(), target.port(),
 				new HttpClientSettings(maxConnections(target), CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES,
 						MAX_BODY_BYTES, true),
 				ConnectionHook.NONE);
-		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client, new TargetLoad(),
-				new CrashProbe(client));
+		StatedAvailability availability = this.retained.getOrDefault(startOf(target.id(), target.startedMs()),
+				new StatedAvailability());
+		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client,
+				new TargetLoad(availability), new CrashProbe(client));
 		this.pooledTargets.put(target.id(), created);
 		this.byAddress.put(created.address(), created);
 		return created;
@@ -86,6 +101,7 @@
 			}
 			else if (entry.getValue().load().inFlight() == 0) {
 				entry.getValue().client().close();
+				retainStatements(entry.getKey(), entry.getValue());
 				this.byAddress.remove(entry.getValue().address(), entry.getValue());
 				entries.remove();
 			}
@@ -111,6 +127,18 @@
 			.orElse(0.0);
 	}
 
+	// An older list may name a target again after it was removed.
+	private void retainStatements(String id, PooledTarget pooledTarget) {
+		StatedAvailability availability = pooledTarget.load().availability();
+		if (!availability.acceptsRequests(System.nanoTime())) {
+			this.retained.put(startOf(id, pooledTarget.startedAtMs()), availability);
+		}
+	}
+
+	private static String startOf(String id, long startedMs) {
+		return id + "/" + startedMs;
+	}
+
 	private int maxConnections(TargetRecord target) {
 		int serviceMaxConnections = this.view.configuration()
 			.flatMap((configuration) -> configuration.service(target.service()))
