Deliver answers without a length whole, or as broken off

Callers of HTTP/1.0 got chunks.

Change: a stream that ends inside an event is resumed or broken off after the last whole event. The end of such an answer counts when the target still accepts connections or has stated that it leaves; after a crash it is broken off. HTTP/1.0 callers get streams that end with the connection, and a reset where they are broken.

Not tested: a target that ends regularly right after such an answer without stating that it leaves counts as crashed; its stream is resumed after the last event.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -65,6 +66,9 @@
 
 	private @Nullable GatewayRequest request;
 
+	/** HTTP version of the open request. */
+	private HttpVersion version = HttpVersion.HTTP_1_1;
+
 	private boolean keepAlive = true;
 
 	private boolean bodyIncomplete;
@@ -303,6 +307,7 @@
 			}
 			releaseBody();
 			this.head = null;
+			this.version = httpRequest.protocolVersion();
 			this.request = this.gateway.createRequest(this, httpRequest, bodyBytes);
 			GatewayRequest openRequest = this.request;
 			long readNanos = System.nanoTime();
@@ -387,11 +392,21 @@
 	void startStream(int status, List<HttpHeader> headers) {
 		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
 		headers.forEach((header) -> response.headers().add(header.name(), header.value()));
-		HttpUtil.setTransferEncodingChunked(response, true);
+		if (callerReadsChunks()) {
+			HttpUtil.setTransferEncodingChunked(response, true);
+		}
+		else {
+			this.keepAlive = false;
+		}
 		setConnectionHeader(response);
 		write(response);
 	}
 
+	// Callers of HTTP/1.0 take the end of the connection for the end of the response.
+	private boolean callerReadsChunks() {
+		return this.version.compareTo(HttpVersion.HTTP_1_1) >= 0;
+	}
+
 	/**
 	 * Sends a part of a streamed response.
 	 * @param data the bytes, which are released
@@ -409,10 +424,14 @@
 	}
 
 	/**
-	 * Closes the connection without a last chunk, which marks the response incomplete.
+	 * Marks a streamed response incomplete by closing the connection without a last
+	 * chunk, or by a reset where the caller does not read chunks.
 	 */
 	void abort() {
 		this.request = null;
+		if (!callerReadsChunks()) {
+			channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 		close();
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -451,12 +451,14 @@
 		if (attempt != this.currentAttempt || this.done) {
 			return;
 		}
-		startStream(attempt, responseHead);
-		attempt.load().recordSuccess(System.nanoTime());
 		StreamEventParser parser = this.streamEvents;
-		if (parser != null) {
-			this.connection.sendStreamData(parser.takePending());
+		if (parser != null && parser.pendingBytes() > 0) {
+			attemptFailed(attempt, HttpFailure.afterSending("read answer", attempt.target().address(),
+					"the stream ended inside an event"));
+			return;
 		}
+		startStream(attempt, responseHead);
+		attempt.load().recordSuccess(System.nanoTime());
 		finish("whole", attempt, "");
 		this.connection.endStream();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -198,7 +198,31 @@
 			this.request.attemptFailed(this, HttpFailure.afterSending("read answer", this.target.address(),
 					"a success that the target has not signed or that is encoded"));
 		}
-		else if (this.streaming && completedResponse.isSuccess()) {
+		else if (completedResponse.isSuccess() && completedHead.isCloseDelimited() && !completedResponse.leaving()) {
+			this.pooledTarget.crashProbe()
+				.hasCrashed()
+				.thenAccept((crashed) -> closeDelimitedEnded(completedResponse, completedHead, crashed));
+		}
+		else {
+			responseEnded(completedResponse, completedHead);
+		}
+	}
+
+	// The end of a connection is the only mark of such a response, and a crash of the
+	// target ends it as well.
+	private void closeDelimitedEnded(TargetResponseHead completedResponse, ResponseHead completedHead,
+			boolean crashed) {
+		if (crashed) {
+			this.request.attemptFailed(this, new HttpFailure("read answer", this.target.address(),
+					"the target crashed at the end of an answer without a length", true, true));
+		}
+		else {
+			responseEnded(completedResponse, completedHead);
+		}
+	}
+
+	private void responseEnded(TargetResponseHead completedResponse, ResponseHead completedHead) {
+		if (this.streaming && completedResponse.isSuccess()) {
 			this.request.streamEnded(this, completedHead);
 		}
 		else {
