Find out about a crashed target once, without the requests of callers

Change: a target that refused a connection gets nothing for a second; a lost connection is followed by a probe that tells a crash; refused connections use no retries and up to sixteen are allowed for one request. NotRunCause says what each kind costs.

--- a/core/src/main/java/org/baobabknot/placement/Placement.java
+++ b/core/src/main/java/org/baobabknot/placement/Placement.java
@@ -87,7 +87,9 @@
 	 */
 	public PlacementResult choose(List<Candidate> all, RequestEstimate estimate, double coldRatePerSecond, int senders,
 			long nowNanos) {
-		List<Candidate> staying = all.stream().filter((each) -> !each.load().availability().leaving()).toList();
+		List<Candidate> staying = all.stream()
+			.filter((each) -> !each.load().availability().leaving() && !each.load().refusesConnections(nowNanos))
+			.toList();
 		List<Candidate> available = staying.stream()
 			.filter((each) -> each.load().availability().acceptsRequests(nowNanos))
 			.toList();
--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -49,6 +49,9 @@
 	 */
 	private static final double LOADER_TIMEOUT_MS = 4_000;
 
+	/** Time for which a target that refused a connection gets no requests. */
+	private static final long REFUSED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
 	private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
 
 	private final ColdRateLimiter coldRateLimiter = new ColdRateLimiter();
@@ -101,6 +104,10 @@
 
 	private long lastSentNanos;
 
+	private boolean connectionsRefused;
+
+	private long refusedNanos;
+
 	private long version;
 
 	/**
@@ -367,6 +374,25 @@
 		return this.avoided && nowNanos - this.avoidedUntilNanos < 0;
 	}
 
+	/**
+	 * Records that the target refused a connection, so that nothing runs at its address.
+	 * It gets no requests for a short time, after which the next one finds out.
+	 * @param nowNanos monotonic time
+	 */
+	public void recordConnectionRefused(long nowNanos) {
+		this.connectionsRefused = true;
+		this.refusedNanos = nowNanos;
+	}
+
+	/**
+	 * Returns whether the target refused a connection recently.
+	 * @param nowNanos monotonic time
+	 * @return whether requests to it would fail
+	 */
+	public boolean refusesConnections(long nowNanos) {
+		return this.connectionsRefused && nowNanos - this.refusedNanos < REFUSED_NANOS;
+	}
+
 	/**
 	 * Records the version of the weights that the target reported with a response.
 	 * @param version the version
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -55,11 +55,14 @@
 	private static final long STALLED_STREAM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
 	/**
-	 * Attempts that cost no target any work, such as refused connections and addresses
-	 * that belong to another target.
+	 * Attempts that cost no target any work, such as addresses that belong to another
+	 * target.
 	 */
 	private static final int MAX_ATTEMPTS_NOT_RUN = 4;
 
+	/** Targets whose crash one request finds out before it is refused. */
+	private static final int MAX_REFUSED_CONNECTIONS = 16;
+
 	/** Largest event of a stream; typical events have less than 1 kB. */
 	private static final int MAX_EVENT_BYTES = 128 << 10;
 
@@ -96,6 +99,8 @@
 
 	private int attemptsNotRun;
 
+	private int refusedConnections;
+
 	private boolean mayHaveRun;
 
 	private boolean streaming;
@@ -256,18 +261,18 @@
 	 * Called when a target did not run the request and never will.
 	 * @param attempt the attempt
 	 * @param reason cause of the failure
-	 * @param refusedByTarget whether the intended target refused it
+	 * @param cause why the request has not run
 	 */
-	void attemptNotRun(TargetAttempt attempt, String reason, boolean refusedByTarget) {
+	void attemptNotRun(TargetAttempt attempt, String reason, NotRunCause cause) {
 		if (attempt != this.currentAttempt || this.done) {
 			return;
 		}
 		this.currentAttempt = null;
 		long now = System.nanoTime();
-		if (!refusedByTarget || attempt.load().estimatedRequests(now) < attempt.target().slots()) {
+		if (!cause.reachesTarget() || attempt.load().estimatedRequests(now) < attempt.target().slots()) {
 			attempt.load().recordFailure(now);
 		}
-		if (!refusedByTarget) {
+		if (!cause.reachesTarget()) {
 			// The target can't be reached or another one has its address. It stays listed
 			// until its entry expires.
 			attempt.load().avoid(now);
@@ -280,11 +285,16 @@
 		this.log.attemptFailed(attempt, reason, eventCount());
 		this.attempts--;
 		this.attemptsNotRun++;
-		if (this.attemptsNotRun > MAX_ATTEMPTS_NOT_RUN || !mayRetry()) {
+		this.refusedConnections += (cause.costsTarget()) ? 0 : 1;
+		boolean mayContinue = (cause.costsTarget())
+				? this.attemptsNotRun - this.refusedConnections <= MAX_ATTEMPTS_NOT_RUN && mayRetry()
+				: this.refusedConnections <= MAX_REFUSED_CONNECTIONS && hasTimeToRetry();
+		if (mayContinue) {
+			startAttempt();
+		}
+		else {
 			giveUp(reason);
-			return;
 		}
-		startAttempt();
 	}
 
 	/**
@@ -300,7 +310,7 @@
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), eventCount());
-		if (failure.connectionLost()
+		if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST
 				&& !this.gateway.promptGuard().verdict(this.head.sharedParts()).mayRetryAfterCrash()) {
 			attempt.pooledTarget()
 				.crashProbe()
@@ -345,13 +355,16 @@
 	}
 
 	private boolean mayRetry() {
+		return hasTimeToRetry() && this.gateway.tryRetry(service().name());
+	}
+
+	private boolean hasTimeToRetry() {
 		long now = System.nanoTime();
 		// A caller that has waited this long disconnects before a first event could
 		// arrive.
 		boolean callerLikelyGone = !this.streaming
 				&& now - this.arrivedNanos > (route().callerTimeoutMs() - objectiveMs(route())) * NANOS_PER_MS;
-		return !callerLikelyGone && now + MIN_ATTEMPT_MS * NANOS_PER_MS < this.deadlineNanos
-				&& this.gateway.tryRetry(service().name());
+		return !callerLikelyGone && now + MIN_ATTEMPT_MS * NANOS_PER_MS < this.deadlineNanos;
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/main/java/org/baobabknot/gateway/NotRunCause.java
@@ -0,0 +1,59 @@
+package org.baobabknot.gateway;
+
+/**
+ * Why an attempt has certainly not run at its target.
+ */
+enum NotRunCause {
+
+	/** The target refused it. */
+	TARGET_REFUSED {
+		@Override
+		boolean reachesTarget() {
+			return true;
+		}
+
+		@Override
+		boolean costsTarget() {
+			return true;
+		}
+	},
+
+	/** Another target has its address, or it was not sent for want of a connection. */
+	NOT_DELIVERED {
+		@Override
+		boolean reachesTarget() {
+			return false;
+		}
+
+		@Override
+		boolean costsTarget() {
+			return true;
+		}
+	},
+
+	/** Nothing runs at the address of the target, which costs a few ms and no target. */
+	CONNECTION_REFUSED {
+		@Override
+		boolean reachesTarget() {
+			return false;
+		}
+
+		@Override
+		boolean costsTarget() {
+			return false;
+		}
+	};
+
+	/**
+	 * Returns whether the intended target got the request.
+	 * @return whether its load is known from the refusal
+	 */
+	abstract boolean reachesTarget();
+
+	/**
+	 * Returns whether a further attempt draws on the budget for retries.
+	 * @return whether the attempt may have cost some target work
+	 */
+	abstract boolean costsTarget();
+
+}
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -15,6 +15,18 @@
  */
 record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe) {
 
+	/**
+	 * Finds out whether the target has crashed after a connection was lost, so that no
+	 * requests of callers have to.
+	 */
+	void checkCrash() {
+		this.crashProbe.hasCrashed().thenAccept((crashed) -> {
+			if (crashed) {
+				this.load.recordConnectionRefused(System.nanoTime());
+			}
+		});
+	}
+
 	/**
 	 * Records what the target states about itself in a response. Requests that wait for a
 	 * connection to a target which accepts none any more go to other targets.
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -191,8 +191,12 @@
 		ResponseHead completedHead = Objects.requireNonNull(this.responseHead);
 		TargetResponseHead completedResponse = Objects.requireNonNull(this.response);
 		if (completedResponse.notRun()) {
-			this.request.attemptNotRun(this, (completedResponse.misdirected()) ? "another-target" : "target-refused",
-					!completedResponse.misdirected());
+			if (completedResponse.misdirected()) {
+				this.request.attemptNotRun(this, "another-target", NotRunCause.NOT_DELIVERED);
+			}
+			else {
+				this.request.attemptNotRun(this, "target-refused", NotRunCause.TARGET_REFUSED);
+			}
 		}
 		else if (completedResponse.isSuccess() && !validSuccess(completedResponse)) {
 			this.request.attemptFailed(this, HttpFailure.afterSending("read answer", this.target.address(),
@@ -213,8 +217,10 @@
 	private void closeDelimitedEnded(TargetResponseHead completedResponse, ResponseHead completedHead,
 			boolean crashed) {
 		if (crashed) {
-			this.request.attemptFailed(this, new HttpFailure("read answer", this.target.address(),
-					"the target crashed at the end of an answer without a length", true, true));
+			this.request.attemptFailed(this,
+					new HttpFailure("read answer", this.target.address(),
+							"the target crashed at the end of an answer without a length", true,
+							HttpFailure.Kind.CONNECTION_LOST));
 		}
 		else {
 			responseEnded(completedResponse, completedHead);
@@ -235,11 +241,18 @@
 	@Override
 	public void onFailure(HttpFailure failure) {
 		if (finish()) {
+			if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST) {
+				this.pooledTarget.checkCrash();
+			}
 			if (failure.sent()) {
 				this.request.attemptFailed(this, failure);
 			}
+			else if (failure.kind() == HttpFailure.Kind.CONNECTION_REFUSED) {
+				this.load.recordConnectionRefused(System.nanoTime());
+				this.request.attemptNotRun(this, failure.toString(), NotRunCause.CONNECTION_REFUSED);
+			}
 			else {
-				this.request.attemptNotRun(this, failure.toString(), false);
+				this.request.attemptNotRun(this, failure.toString(), NotRunCause.NOT_DELIVERED);
 			}
 		}
 	}
