--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -43,11 +43,12 @@
 	}
 
 	/**
-	 * Starts gateways named {@code entry-0}, {@code entry-1} and so on.
+	 * Starts further gateways, named {@code entry-0}, {@code entry-1} and so on.
 	 * @param count number of gateways
 	 */
 	void start(int count) {
-		for (int index = 0; index < count; index++) {
+		int end = this.gateways.size() + count;
+		for (int index = this.gateways.size(); index < end; index++) {
 			FleetSettings.HostPort callerAddress = freePort();
 			this.callerPorts.add(callerAddress.port());
 			FleetSettings settings = new FleetSettings(FleetSettings.FleetRole.GATEWAY, "entry-" + index, "a", "ra",
--- a/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -11,9 +12,11 @@
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedConfiguration;
 import org.baobabknot.emulator.EmulatedEngine;
+import org.baobabknot.quarantine.PromptVerdict;
 import org.baobabknot.settings.FleetSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -39,8 +42,13 @@
 	/** Time between two requests with the part. */
 	private static final long INTERVAL_MS = 150;
 
+	/** Time in which a datagram reaches the other gateways. */
+	private static final long DELIVERY_MS = 100;
+
 	private static final String DEADLY_PART = "dead1";
 
+	private static final List<Long> DEADLY_PROMPT = List.of(0xdead1L);
+
 	private static final String SOUND_PART = "50d1";
 
 	private final EventLoopGroup engineGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -95,19 +103,96 @@
 		return this.engines.stream().filter(EmulatedEngine::hasEnded).count();
 	}
 
-	@Test
-	void requestsWithADeadlyPartDoNotCrashOneEngineAfterTheOther() throws Exception {
-		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-			assertThat(call(gateway, SOUND_PART).status(), is(200));
+	private static PromptVerdict verdict(Gateway gateway) {
+		return gateway.loop().submit(() -> gateway.promptGuard().verdict(DEADLY_PROMPT)).syncUninterruptibly().getNow();
+	}
+
+	private int crashTwice() throws Exception {
+		assertThat(call(0, SOUND_PART).status(), is(200));
+		assertThat(call(0, SOUND_PART, DEADLY_PART).status(), is(502));
+		TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
+		return call(0, SOUND_PART, DEADLY_PART).status();
+	}
+
+	@Nested
+	class Quarantine {
+
+		@Test
+		void requestsWithADeadlyPartDoNotCrashOneEngineAfterTheOther() throws Exception {
+			for (int gateway = 0; gateway < GATEWAYS; gateway++) {
+				assertThat(call(gateway, SOUND_PART).status(), is(200));
+			}
+			int served = 0;
+			for (int count = 0; count < 2 * ENGINES; count++) {
+				call(count, SOUND_PART, DEADLY_PART);
+				served += (call(count + 1, SOUND_PART).complete()) ? 1 : 0;
+				TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
+			}
+			assertThat((int) crashes(), lessThanOrEqualTo(MAX_CRASHES));
+			assertThat(served, greaterThanOrEqualTo(2 * ENGINES - MAX_CRASHES));
 		}
-		int served = 0;
-		for (int count = 0; count < 2 * ENGINES; count++) {
-			call(count, SOUND_PART, DEADLY_PART);
-			served += (call(count + 1, SOUND_PART).complete()) ? 1 : 0;
-			TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
+
+		@Test
+		void aGatewayThatSawNoCrashHoldsThemBackAtOnce() throws Exception {
+			assertThat(crashTwice(), is(400));
+			TimeUnit.MILLISECONDS.sleep(DELIVERY_MS);
+			assertThat(call(1, SOUND_PART, DEADLY_PART).status(), is(400));
+			assertThat(call(2, SOUND_PART, DEADLY_PART).status(), is(400));
+			assertThat(call(2, SOUND_PART).status(), is(200));
+			assertThat(crashes(), is(2L));
+		}
+
+		@Test
+		void aGatewayThatStartsLaterLearnsOfThem() throws Exception {
+			assertThat(crashTwice(), is(400));
+			TaintedPromptTests.this.fleet.start(1);
+			Gateway started = TaintedPromptTests.this.fleet.gateways.get(GATEWAYS);
+			GatewayFixture.await(() -> verdict(started) == PromptVerdict.QUARANTINED);
+			assertThat(crashes(), is(2L));
 		}
-		assertThat((int) crashes(), lessThanOrEqualTo(MAX_CRASHES));
-		assertThat(served, greaterThanOrEqualTo(2 * ENGINES - MAX_CRASHES));
+
+	}
+
+	@Nested
+	class SoundRequests {
+
+		@Test
+		void aRequestWhosePartsWereServedIsRepeatedAfterACrash() throws Exception {
+			assertThat(call(0, SOUND_PART).status(), is(200));
+			TaintedPromptTests.this.engines.forEach((engine) -> engine.firstByteDelayMs = 500);
+			CompletableFuture<EmulatedCaller.Response> response = callAsync(0, SOUND_PART);
+			busyEngine().crash();
+			assertThat(response.get(10, TimeUnit.SECONDS).status(), is(200));
+		}
+
+		@Test
+		void aResetConnectionIsNoCrash() throws Exception {
+			TaintedPromptTests.this.engines.forEach((engine) -> engine.firstByteDelayMs = 500);
+			CompletableFuture<EmulatedCaller.Response> response = callAsync(0, "07e4");
+			busyEngine().resetConnections();
+			assertThat(response.get(10, TimeUnit.SECONDS).status(), is(200));
+		}
+
+		private CompletableFuture<EmulatedCaller.Response> callAsync(int gateway, String part) {
+			return CompletableFuture.supplyAsync(() -> {
+				try {
+					return call(gateway, part);
+				}
+				catch (IOException ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+		}
+
+		private EmulatedEngine busyEngine() throws InterruptedException {
+			GatewayFixture.await(
+					() -> TaintedPromptTests.this.engines.stream().anyMatch((engine) -> engine.runningRequests() > 0));
+			return TaintedPromptTests.this.engines.stream()
+				.filter((engine) -> engine.runningRequests() > 0)
+				.findFirst()
+				.orElseThrow();
+		}
+
 	}
 
 }
