--- a/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/FreePorts.java
@@ -17,7 +17,7 @@
  * block stays bound until this program ends, so that concurrent runs never use the same
  * block.
  */
-final class FreePorts {
+public final class FreePorts {
 
 	private static final int MIN_PORT = 10_000;
 
@@ -35,7 +35,12 @@
 	private FreePorts() {
 	}
 
-	static synchronized List<Integer> find(int count) {
+	/**
+	 * Finds free ports.
+	 * @param count number of ports
+	 * @return the ports
+	 */
+	public static synchronized List<Integer> find(int count) {
 		List<Integer> ports = new ArrayList<>();
 		while (ports.size() < count) {
 			ports.addAll(findInBlock(Math.min(count - ports.size(), BLOCK_SIZE - 1)));
--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -7,6 +7,7 @@
 
 import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
+import org.baobabknot.soak.SoakExperiment;
 
 /**
  * The available experiments. A new experiment needs a constant here with its summary and
@@ -36,6 +37,10 @@
 	/** Checks of the guarantees under randomly drawn faults. */
 	FAULTS("draws faults from a seed and checks every guarantee under load", FaultsExperiment::new),
 
+	/** Gateways under overlapping faults. */
+	SOAK("runs gateways under load and overlapping faults drawn from a seed, and checks the rules",
+			SoakExperiment::new),
+
 	/** Goodput and refusals at twice the capacity. */
 	OVERLOAD("loads targets with twice their capacity, with a baseline in the same run", OverloadExperiment::new),
 
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
@@ -0,0 +1,276 @@
+package org.baobabknot.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.baobabknot.daemon.FleetProcess;
+import org.baobabknot.emulator.EmulatedConfiguration;
+import org.baobabknot.emulator.EmulatedEngine;
+import org.baobabknot.emulator.EmulatedStore;
+import org.baobabknot.experiment.LaunchedProcess;
+import org.baobabknot.experiment.ProcessLauncher;
+
+/**
+ * Gateways as processes, with emulated targets and an emulated store.
+ */
+final class SoakSite implements AutoCloseable {
+
+	private static final String MODEL = "model";
+
+	private static final int MODEL_ENGINES = 6;
+
+	private static final int PLAIN_ENGINES = 4;
+
+	private static final long READY_TIMEOUT_MS = 20_000;
+
+	private static final long SHUTDOWN_MS = 8_000;
+
+	private static final long POLL_MS = 20;
+
+	private final ProcessLauncher launcher;
+
+	private final SoakHistory history;
+
+	private final SplittableRandom random;
+
+	private final List<Integer> ports;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+	private final EmulatedStore store = new EmulatedStore(this.group);
+
+	private final List<EmulatedEngine> engines = new ArrayList<>();
+
+	private final LaunchedProcess[] processes;
+
+	private final boolean[] restarting;
+
+	private int startedEngines;
+
+	private long configurationVersion;
+
+	private volatile boolean sendsDeadlyPart;
+
+	/**
+	 * Creates a site without processes.
+	 * @param launcher starts the gateways
+	 * @param history receives engines and disturbances
+	 * @param gateways number of gateways
+	 * @param ports one free port for the gateways to talk to each other, and three for
+	 * each of them
+	 * @param seed seed of the faults
+	 */
+	SoakSite(ProcessLauncher launcher, SoakHistory history, int gateways, List<Integer> ports, long seed) {
+		this.launcher = launcher;
+		this.history = history;
+		this.ports = ports;
+		this.random = new SplittableRandom(seed);
+		this.processes = new LaunchedProcess[gateways];
+		this.restarting = new boolean[gateways];
+	}
+
+	void start() throws InterruptedException {
+		changeConfiguration();
+		this.store.announceVersion(MODEL, 1);
+		for (int index = 0; index < MODEL_ENGINES; index++) {
+			addEngine(true);
+		}
+		for (int index = 0; index < PLAIN_ENGINES; index++) {
+			addEngine(false);
+		}
+		for (int gateway = 0; gateway < this.processes.length; gateway++) {
+			this.processes[gateway] = startProcess(gateway);
+		}
+		for (LaunchedProcess process : this.processes) {
+			awaitReady(process);
+		}
+	}
+
+	int gateways() {
+		return this.processes.length;
+	}
+
+	List<Integer> callerPorts() {
+		List<Integer> callerPorts = new ArrayList<>();
+		for (int gateway = 0; gateway < this.processes.length; gateway++) {
+			callerPorts.add(port(gateway, 0));
+		}
+		return callerPorts;
+	}
+
+	synchronized int draw(int bound) {
+		return this.random.nextInt(bound);
+	}
+
+	synchronized EmulatedEngine drawEngine() {
+		return this.engines.get(this.random.nextInt(this.engines.size()));
+	}
+
+	boolean sendsDeadlyPart() {
+		return this.sendsDeadlyPart;
+	}
+
+	void sendDeadlyPart(boolean enabled) {
+		this.sendsDeadlyPart = enabled;
+	}
+
+	synchronized void changeConfiguration() {
+		this.store.putConfiguration(
+				new EmulatedConfiguration(++this.configurationVersion).route("orders", "unsafe", "plain", 4_000)
+					.route("reads", "safe", "plain", 4_000)
+					.route("texts", "streaming", "models", 5_000)
+					.plainService("plain")
+					.modelService("models", MODEL, 4, 64)
+					.workspace("workspace", "key-1"));
+	}
+
+	private synchronized void addEngine(boolean hasModel) {
+		EmulatedEngine engine = new EmulatedEngine(this.group, "127.0.0.1", "engine-" + this.startedEngines++,
+				(hasModel) ? "models" : "plain", "a", (hasModel) ? MODEL : "", (hasModel) ? 1 : 0);
+		engine.eventsPerStream = SoakRequest.EVENTS;
+		engine.deadlyPart = SoakCaller.DEADLY_PART;
+		this.engines.add(engine);
+		this.history.add(engine);
+		list(engine, "ready");
+	}
+
+	void list(EmulatedEngine engine, String state) {
+		this.store.putTarget(engine, state);
+	}
+
+	/**
+	 * Removes an engine that has ended some time later and starts another one.
+	 * @param engine the engine
+	 * @throws InterruptedException if the soak ends
+	 */
+	void replaceLater(EmulatedEngine engine) throws InterruptedException {
+		synchronized (this) {
+			if (!this.engines.remove(engine)) {
+				return;
+			}
+		}
+		TimeUnit.MILLISECONDS.sleep(500 + draw(2_000));
+		this.store.removeTarget(engine.id());
+		addEngine(engine.id().isEmpty() || engine.storeEntry("ready").contains("\"models\""));
+	}
+
+	/**
+	 * Replaces the engines that have crashed under a part of a prompt.
+	 * @throws InterruptedException if the soak ends
+	 */
+	void replaceCrashedEngines() throws InterruptedException {
+		List<EmulatedEngine> crashed;
+		synchronized (this) {
+			crashed = this.engines.stream().filter(EmulatedEngine::hasEnded).toList();
+		}
+		for (EmulatedEngine engine : crashed) {
+			replaceLater(engine);
+		}
+	}
+
+	void restartGateway(int gateway, boolean planned) throws InterruptedException {
+		if (!claim(gateway)) {
+			return;
+		}
+		long fromNanos = System.nanoTime();
+		LaunchedProcess process = this.processes[gateway];
+		if (planned) {
+			process.signal("TERM");
+			if (!process.awaitExit(SHUTDOWN_MS)) {
+				process.kill();
+			}
+		}
+		else {
+			process.kill();
+		}
+		this.processes[gateway] = startProcess(gateway);
+		awaitReady(this.processes[gateway]);
+		release(gateway, new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), planned));
+	}
+
+	void pauseGateway(int gateway, int ms) throws InterruptedException {
+		if (!claim(gateway)) {
+			return;
+		}
+		long fromNanos = System.nanoTime();
+		LaunchedProcess process = this.processes[gateway];
+		process.signal("STOP");
+		TimeUnit.MILLISECONDS.sleep(ms);
+		process.signal("CONT");
+		release(gateway, new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), false));
+	}
+
+	private synchronized boolean claim(int gateway) {
+		if (this.restarting[gateway]) {
+			return false;
+		}
+		this.restarting[gateway] = true;
+		return true;
+	}
+
+	private synchronized void release(int gateway, SoakHistory.Disturbance disturbance) {
+		this.history.add(disturbance);
+		this.restarting[gateway] = false;
+	}
+
+	private int port(int gateway, int index) {
+		return this.ports.get(1 + gateway * 3 + index);
+	}
+
+	private LaunchedProcess startProcess(int gateway) {
+		String name = "gateway-" + gateway;
+		ObjectNode settings = JsonNodeFactory.instance.objectNode()
+			.put("role", "gateway")
+			.put("instance", name)
+			.put("failureDomain", "a")
+			.put("region", "ra")
+			.put("host", "127.0.0." + (10 + gateway))
+			.put("store", this.store.address())
+			.put("peerPort", this.ports.get(0))
+			.put("callers", "127.0.0.1:" + port(gateway, 0))
+			.put("readiness", "127.0.0.1:" + port(gateway, 1))
+			.put("metricsPort", port(gateway, 2));
+		settings.putObject("domains").put("a", "ra");
+		settings.putObject("bounds")
+			.put("configurationMs", 2_000)
+			.put("keyMs", 5_000)
+			.put("versionMs", 8_000)
+			.put("shutdownMs", SHUTDOWN_MS)
+			.put("retryRatio", 0.2)
+			.put("retryWindowMs", 10_000)
+			.put("retryMinimum", 200)
+			.put("coldOvershoot", 1.5)
+			.put("coldSlack", 5)
+			.put("heartbeatMs", 1_200);
+		settings.putObject("resources").put("descriptors", 2_000).put("linkMegabitsPerSecond", 100);
+		return this.launcher.start(name, FleetProcess.class.getName(), List.of("-Xmx96m"),
+				List.of("--settings", this.launcher.writeJson(name + ".json", settings).toString()));
+	}
+
+	private static void awaitReady(LaunchedProcess process) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
+		while (!process.logText().contains("\"ready\":\"true\"")) {
+			if (System.nanoTime() > deadlineNanos) {
+				throw new IllegalStateException(process.name() + " was not ready in time: " + process.logText());
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MS);
+		}
+	}
+
+	@Override
+	public void close() {
+		synchronized (this) {
+			this.engines.forEach(EmulatedEngine::close);
+		}
+		this.store.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+}
