--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
@@ -175,6 +175,22 @@
 		}
 	}
 
+	/**
+	 * Records the times in which gateways got no processor time.
+	 * @return number of stalls
+	 */
+	int recordStalls() {
+		int count = 0;
+		for (LaunchedProcess process : this.launcher.processes()) {
+			int gateway = Integer.parseInt(process.name().substring(process.name().lastIndexOf('-') + 1));
+			for (SoakHistory.Disturbance stall : StalledGateways.of(gateway, process)) {
+				this.history.add(stall);
+				count++;
+			}
+		}
+		return count;
+	}
+
 	void restartGateway(int gateway, boolean planned) throws InterruptedException {
 		if (!claim(gateway)) {
 			return;
