Show that a target runs on before its answer without a length counts as whole

Callers saw 8 to 13 of about 297 streams end as complete after 1 to 20 of 21 events.

Cause: Netty's decoder reports the close of a connection by either side as the end of a body without a length, and ClientConnection passed that on as the regular end. TargetPool closes the connections of a target when a new start is listed. The probe that should have told a crash connects to the address, where the new start accepts; it may also have begun before the crash, and was left out for leaving targets. Nothing had shown that the answer was whole.

The target must then be seen running after the end (TargetRunCheck): a response on a connection that was accepted before, or a report of the same start.

--- a/core/src/main/java/org/baobabknot/fleet/ServiceDefinition.java
+++ b/core/src/main/java/org/baobabknot/fleet/ServiceDefinition.java
@@ -14,12 +14,21 @@
  * @param models models that its engines run
  * @param modelLayout division of the weights of its models into layers and chunks,
  * {@code null} for a service without a model
+ * @param statusPath path at which its targets report their state
  */
 public record ServiceDefinition(String name, int maxConnections, double coldRatePerSecond,
-		@Nullable EngineSpeed engineSpeed, List<String> models, @Nullable ModelLayout modelLayout) {
+		@Nullable EngineSpeed engineSpeed, List<String> models, @Nullable ModelLayout modelLayout, String statusPath) {
 
 	public ServiceDefinition {
 		models = List.copyOf(models);
 	}
 
+	/**
+	 * Returns whether its targets name their start when they report their state.
+	 * @return true for a service with a model
+	 */
+	public boolean reportsStart() {
+		return this.engineSpeed != null;
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -3,6 +3,7 @@
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.placement.TargetLoad;
 import org.baobabknot.provider.TargetResponseHead;
+import org.baobabknot.provider.TargetRunCheck;
 
 /**
  * Connections and load of one start of a target.
@@ -12,8 +13,10 @@
  * @param client client with the connections
  * @param load load and health of the target
  * @param crashProbe finds out whether the target has crashed
+ * @param runCheck shows that this start of the target still runs
  */
-record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe) {
+record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe,
+		TargetRunCheck runCheck) {
 
 	/**
 	 * Finds out whether the target has crashed after a connection was lost, so that no
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -144,6 +144,9 @@
 		this.pooledTarget.recordStatements(receivedResponse, now);
 		this.load.version(receivedResponse.version());
 		this.load.recordFirstByte(this, now);
+		if (receivedHead.isCloseDelimited()) {
+			this.pooledTarget.runCheck().prepare();
+		}
 	}
 
 	@Override
@@ -185,11 +188,40 @@
 
 	@Override
 	public void onEnd() {
-		if (!finish()) {
+		if (this.done) {
 			return;
 		}
 		ResponseHead completedHead = Objects.requireNonNull(this.responseHead);
 		TargetResponseHead completedResponse = Objects.requireNonNull(this.response);
+		if (completedHead.isCloseDelimited() && !completedResponse.notRun()) {
+			this.pooledTarget.runCheck()
+				.runsAfter(System.nanoTime(), this.sentNanos)
+				.thenAccept((runs) -> closeDelimitedEnded(completedResponse, completedHead, runs));
+		}
+		else if (finish()) {
+			ended(completedResponse, completedHead);
+		}
+	}
+
+	// The end of its connection is the only mark of such a response. A crash of the
+	// target
+	// ends the connection as well.
+	private void closeDelimitedEnded(TargetResponseHead completedResponse, ResponseHead completedHead, boolean runs) {
+		if (!finish()) {
+			return;
+		}
+		if (runs) {
+			ended(completedResponse, completedHead);
+		}
+		else {
+			this.request.attemptFailed(this,
+					new HttpFailure("read answer", this.target.address(),
+							"an answer without a length ended and its target was not seen running after it", true,
+							HttpFailure.Kind.CONNECTION_LOST));
+		}
+	}
+
+	private void ended(TargetResponseHead completedResponse, ResponseHead completedHead) {
 		if (completedResponse.notRun()) {
 			if (completedResponse.misdirected()) {
 				this.request.attemptNotRun(this, "another-target", NotRunCause.NOT_DELIVERED);
@@ -202,26 +234,6 @@
 			this.request.attemptFailed(this, HttpFailure.afterSending("read answer", this.target.address(),
 					"a success that the target has not signed or that is encoded"));
 		}
-		else if (completedResponse.isSuccess() && completedHead.isCloseDelimited() && !completedResponse.leaving()) {
-			this.pooledTarget.crashProbe()
-				.hasCrashed()
-				.thenAccept((crashed) -> closeDelimitedEnded(completedResponse, completedHead, crashed));
-		}
-		else {
-			responseEnded(completedResponse, completedHead);
-		}
-	}
-
-	// The end of a connection is the only mark of such a response, and a crash of the
-	// target ends it as well.
-	private void closeDelimitedEnded(TargetResponseHead completedResponse, ResponseHead completedHead,
-			boolean crashed) {
-		if (crashed) {
-			this.request.attemptFailed(this,
-					new HttpFailure("read answer", this.target.address(),
-							"the target crashed at the end of an answer without a length", true,
-							HttpFailure.Kind.CONNECTION_LOST));
-		}
 		else {
 			responseEnded(completedResponse, completedHead);
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -16,6 +16,7 @@
 import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
+import org.baobabknot.provider.TargetRunCheck;
 
 /**
  * Connections and load of all targets that a gateway has used. Connections are not shared
@@ -81,7 +82,7 @@
 		StatedAvailability availability = this.retained.getOrDefault(startOf(target.id(), target.startedMs()),
 				new StatedAvailability());
 		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client,
-				new TargetLoad(availability), new CrashProbe(client));
+				new TargetLoad(availability), new CrashProbe(client), runCheck(client, target));
 		this.pooledTargets.put(target.id(), created);
 		this.byAddress.put(created.address(), created);
 		return created;
@@ -139,6 +140,13 @@
 		return id + "/" + startedMs;
 	}
 
+	private TargetRunCheck runCheck(HttpClient client, TargetRecord target) {
+		Optional<ServiceDefinition> service = this.view.configuration()
+			.flatMap((configuration) -> configuration.service(target.service()));
+		return new TargetRunCheck(client, service.map(ServiceDefinition::statusPath).orElse("/"),
+				service.map(ServiceDefinition::reportsStart).orElse(false), target);
+	}
+
 	private int maxConnections(TargetRecord target) {
 		int serviceMaxConnections = this.view.configuration()
 			.flatMap((configuration) -> configuration.service(target.service()))
--- a/daemon/src/test/java/org/baobabknot/gateway/UnframedResponseTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/UnframedResponseTests.java
@@ -1,6 +1,8 @@
 package org.baobabknot.gateway;
 
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedEngine;
@@ -21,6 +23,8 @@
 
 	private static final int EVENTS = 5;
 
+	private static final long TIMEOUT_SECONDS = 10;
+
 	private final GatewayFixture fixture = new GatewayFixture();
 
 	@AfterEach
@@ -89,6 +93,66 @@
 
 	}
 
+	/**
+	 * A stream without a length was ended as complete when this process closed its
+	 * connection, or when another start of its target accepted a connection after it.
+	 */
+	@Nested
+	class EndsThatAreNotShownToBeRegular {
+
+		private static final int PAUSE_MS = 100;
+
+		private EmulatedEngine addLongStreams() {
+			EmulatedEngine engine = addModelTarget("t1", true);
+			engine.eventsPerStream = 100;
+			engine.eventIntervalMs = 20;
+			return engine;
+		}
+
+		@Test
+		void aStreamIsBrokenOffWhenItsTargetLosesPowerAndIsListedWithANewStart() throws Exception {
+			EmulatedEngine engine = addLongStreams();
+			UnframedResponseTests.this.fixture.start();
+			CompletableFuture<EmulatedCaller.Response> response = UnframedResponseTests.this.fixture.callAsync("POST",
+					"/texts/x", "r1",
+					EmulatedCaller.modelHeaders(GatewayFixture.MODEL, 100, 30) + EmulatedCaller.deadlineHeader(5_000));
+			GatewayFixture.await(() -> engine.runningRequests() == 1);
+			Thread.sleep(PAUSE_MS);
+			engine.losePower();
+			UnframedResponseTests.this.fixture.store.putTarget(engine, "ready");
+			Thread.sleep(PAUSE_MS);
+			engine.eventsPerStream = EVENTS;
+			assertThat(UnframedResponseTests.this.fixture.callStream("r2").complete(), is(true));
+			assertThat(response.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).complete(), is(false));
+		}
+
+		@Test
+		void aStreamIsBrokenOffWhenItsTargetCrashesAndIsBackAtOnce() throws Exception {
+			addLongStreams().restartAtEvent = 3;
+			UnframedResponseTests.this.fixture.start();
+			EmulatedCaller.Response response = UnframedResponseTests.this.fixture.callStream("r1");
+			assertThat(response.complete(), is(false));
+			assertThat(response.body(), is(events(3)));
+		}
+
+		@Test
+		void aStreamIsBrokenOffWhenItsLeavingTargetCrashes() throws Exception {
+			EmulatedEngine engine = addLongStreams();
+			engine.statesLeaving = true;
+			engine.crashAtEvent = 3;
+			UnframedResponseTests.this.fixture.start();
+			assertThat(UnframedResponseTests.this.fixture.callStream("r1").complete(), is(false));
+		}
+
+		@Test
+		void aStreamOfALeavingTargetThatStillRunsIsWhole() throws Exception {
+			addModelTarget("t1", true).statesLeaving = true;
+			UnframedResponseTests.this.fixture.start();
+			assertThat(UnframedResponseTests.this.fixture.callStream("r1").complete(), is(true));
+		}
+
+	}
+
 	@Nested
 	class PlainResponses {
 
