Refuse requests that may outlast a stopping process

Callers on kept connections saw six of six streams, sent 3.2 s after a SIGTERM, passed on and cut 7.6 s after it.

Cause: Gateway.shutDown admitted every request until BALANCER_LAG_MS and ended at 95% of the grace, whatever the request could last. Ruled out: the draining of connections at 3.5 s (cut at 7.6 s), the engine (still writing).

Change: from the signal on a request is admitted only if its latest end (deadline or timeout of the route) is before that of the process (core ShutdownWindow); the others get 503 as not run at once and may return elsewhere. A repeated signal does not move the end.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -53,6 +53,7 @@
 import org.baobabknot.placement.PlacementSettings;
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.placement.ShutdownWindow;
 import org.baobabknot.protocol.generated.PartReport;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.EntryRegistration;
@@ -64,6 +65,7 @@
 import org.baobabknot.relay.ValueServer;
 import org.baobabknot.retry.FleetRetryBudget;
 import org.baobabknot.settings.FleetSettings;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A gateway process: follows the configuration, accepts the requests of callers, chooses
@@ -188,6 +190,8 @@
 
 	private boolean draining;
 
+	private @Nullable ShutdownWindow shutdownWindow;
+
 	private int sweepCount;
 
 	/**
@@ -274,20 +278,24 @@
 
 	/**
 	 * Reports not ready, accepts requests until the load balancer has noticed, and then
-	 * drains the connections.
+	 * drains the connections. A repeated call has no further effect.
 	 * @return completed when no request is open or the time for draining is over
 	 */
 	public CompletableFuture<Void> shutDown() {
 		this.shuttingDown = true;
 		this.loop.execute(() -> {
+			if (this.shutdownWindow != null) {
+				return;
+			}
 			this.ready = false;
 			this.registration.stop();
+			long drainMs = (long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO);
+			this.shutdownWindow = new ShutdownWindow(System.nanoTime() + drainMs * NANOS_PER_MS);
 			this.loop.schedule(() -> {
 				this.draining = true;
 				List.copyOf(this.connections).forEach(GatewayConnection::drain);
 			}, BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
-			this.loop.schedule(() -> this.shutdownComplete.complete(null),
-					(long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO), TimeUnit.MILLISECONDS);
+			this.loop.schedule(() -> this.shutdownComplete.complete(null), drainMs, TimeUnit.MILLISECONDS);
 		});
 		return this.shutdownComplete;
 	}
@@ -325,6 +333,16 @@
 		return this.shuttingDown;
 	}
 
+	/**
+	 * Returns whether a request ends before this process does.
+	 * @param deadlineNanos monotonic time at which the request ends at the latest
+	 * @return true unless this process is stopping and may end before
+	 */
+	boolean outlasts(long deadlineNanos) {
+		ShutdownWindow window = this.shutdownWindow;
+		return window == null || window.admits(deadlineNanos);
+	}
+
 	long viewAgeMs() {
 		return this.view.freshness().ageMs(System.nanoTime(), System.currentTimeMillis());
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -135,6 +135,11 @@
 		long timeoutMs = admitted.route().timeoutMs();
 		long remainingMs = (this.head.timeoutMs() >= 0) ? Math.min(this.head.timeoutMs(), timeoutMs) : timeoutMs;
 		this.deadlineNanos = this.arrivedNanos + remainingMs * NANOS_PER_MS;
+		if (!this.gateway.outlasts(this.deadlineNanos)) {
+			sendError(ErrorResponse.notRun("stopping", "this process may end before the request",
+					retryAfterMs(RetryAfter.ELSEWHERE, 0)));
+			return;
+		}
 		PromptGuard guard = this.gateway.promptGuard();
 		List<Long> parts = this.head.sharedParts();
 		Optional<ErrorResponse> refusal = guard.refusal(parts, this.gateway.isInFlight(guard.suspectedParts(parts)),
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayShutdownTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayShutdownTests.java
@@ -10,6 +10,7 @@
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedEngine;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -89,4 +90,62 @@
 		}
 	}
 
+	/**
+	 * Requests on open connections were admitted late in a planned stop and cut off when
+	 * the process ended.
+	 */
+	@Nested
+	class LateRequests {
+
+		/** A stream may last 5 s, and the process ends 7.6 s after the signal. */
+		private static final long LATE_MS = 3_200;
+
+		@Test
+		void areRefusedAsNotRunWhenTheyCouldBeCutOff() throws Exception {
+			EmulatedEngine engine = GatewayShutdownTests.this.fixture.addEngine("t1", "models", "a",
+					GatewayFixture.MODEL);
+			engine.eventsPerStream = 48;
+			engine.eventIntervalMs = 100;
+			GatewayShutdownTests.this.fixture.start();
+			try (EmulatedCaller caller = GatewayShutdownTests.this.fixture.caller()) {
+				CompletableFuture<Void> ended = GatewayShutdownTests.this.fixture.gateway().shutDown();
+				Thread.sleep(LATE_MS);
+				EmulatedCaller.Response response = caller.sendAndRead("POST", "/texts/x", "r1",
+						EmulatedCaller.modelHeaders(GatewayFixture.MODEL, 100, 300)
+								+ EmulatedCaller.deadlineHeader(5_000),
+						"body");
+				assertThat(response.status(), is(503));
+				assertThat(response.headers().get("connection"), is("close"));
+				assertThat(response.headers().containsKey("retry-after"), is(true));
+				assertThat(engine.receivedRequests().isEmpty(), is(true));
+				ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+		}
+
+		@Test
+		void areRefusedAfterASecondSignalToo() throws Exception {
+			GatewayShutdownTests.this.fixture.addEngine("t1", "models", "a", GatewayFixture.MODEL);
+			GatewayShutdownTests.this.fixture.start();
+			CompletableFuture<Void> ended = GatewayShutdownTests.this.fixture.gateway().shutDown();
+			Thread.sleep(LATE_MS);
+			GatewayShutdownTests.this.fixture.gateway().shutDown();
+			assertThat(GatewayShutdownTests.this.fixture.callStream("r1").status(), is(503));
+			ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+
+		@Test
+		void areServedWhenTheyEndBeforeTheProcess() throws Exception {
+			GatewayShutdownTests.this.fixture.addEngine("t1", "plain", "a", "");
+			GatewayShutdownTests.this.fixture.start();
+			try (EmulatedCaller caller = GatewayShutdownTests.this.fixture.caller()) {
+				CompletableFuture<Void> ended = GatewayShutdownTests.this.fixture.gateway().shutDown();
+				Thread.sleep(LATE_MS);
+				EmulatedCaller.Response response = caller.sendAndRead("POST", "/orders/x", "r1", "", "order");
+				assertThat(response.status(), is(200));
+				ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+		}
+
+	}
+
 }
