Hold back only requests with all traits that were together in crashes

After a pause a caller's sound requests, 94 of 94, got 400 because its first two requests behind the pause had a deadly part beside its sound ones.

Cause: a part in two crashes that was not served for 30 s counted as guilty, also where another part of the same requests explains both crashes; nothing with it could run that would clear it. Ruled out: a lost acquittal (no sound request came between), older records (no crash before).

Change: evidence is the request that was at the crashed target. Traits that were together in all crashes are held back only together; a request with some of them runs as the one trial of the fleet (TrialTable) and tells them apart. A whole response acquits, no longer one event; crashes in the middle of a response count. After a quarantine one trial decides, not one request a process, and none after five crashed targets while such requests come. RequestGuard takes the place of PromptGuard.

The schedules of QuarantineTests now ask about requests with both parts, as they are sent, and TaintedPromptTests counts only 200 as served: a complete 400 counted before.

--- a/core/src/main/java/org/baobabknot/quarantine/package-info.java
+++ b/core/src/main/java/org/baobabknot/quarantine/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Finds the parts of prompts under which targets crash, from the crashes that all entries
- * have seen, and decides which requests are held back.
+ * Finds what requests under which targets crash have in common, from the crashes that all
+ * entries have seen, and decides which requests are held back and which run alone.
  */
 @NullMarked
 package org.baobabknot.quarantine;
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -29,7 +30,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.util.concurrent.Ticker;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.baobabknot.fleet.CallerLimits;
 import org.baobabknot.fleet.EntryRecord;
@@ -160,7 +160,7 @@
 
 	private final LoadReceiver loadReceiver;
 
-	private final PromptGuard promptGuard;
+	private final RequestGuard requestGuard;
 
 	private final Placement placement;
 
@@ -220,9 +220,9 @@
 		this.feed.onUpdate(this.valueServer::respondToWaiting);
 		this.registration = new EntryRegistration(this.store, this.loop, self);
 		this.targetPool = new TargetPool(this.loop, this.view);
-		this.promptGuard = new PromptGuard(Ticker.systemTicker(), log, this.random, this::otherEntries,
-				this::sendReport, () -> List.copyOf(this.requests).forEach(GatewayRequest::rejectIfQuarantined));
-		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.promptGuard),
+		this.requestGuard = new RequestGuard(settings.instance(), this.loop, log, this.random,
+				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
+		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard),
 				this::otherEntriesOfRegion);
 		this.placement = new Placement(PlacementSettings.defaults(), this.random);
 		this.loopDelay = new LoopDelayMeter(SWEEP_INTERVAL_MS, registry, log);
@@ -271,8 +271,8 @@
 				// The processes to follow depend on all entries, including this one.
 				this.registration.start().thenRun(this.feed::start);
 				this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
-				this.loop.scheduleAtFixedRate(this.promptGuard::exchange, PromptGuard.EXCHANGE_INTERVAL_MS,
-						PromptGuard.EXCHANGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+				this.loop.scheduleAtFixedRate(this.requestGuard::exchange, RequestGuard.EXCHANGE_INTERVAL_MS,
+						RequestGuard.EXCHANGE_INTERVAL_MS, TimeUnit.MILLISECONDS);
 			});
 	}
 
@@ -400,24 +400,14 @@
 		return allowed;
 	}
 
-	PromptGuard promptGuard() {
-		return this.promptGuard;
+	RequestGuard requestGuard() {
+		return this.requestGuard;
 	}
 
 	PooledTarget pooledTarget(TargetRecord target) {
 		return this.targetPool.pooledTarget(target);
 	}
 
-	/**
-	 * Returns whether a request with one of some parts of a prompt waits for the first
-	 * byte of its response.
-	 * @param parts the parts
-	 * @return whether there is one
-	 */
-	boolean isInFlight(List<Long> parts) {
-		return this.requests.stream().anyMatch((request) -> request.awaitsResponseWith(parts));
-	}
-
 	GatewayRequest createRequest(GatewayConnection caller, HttpRequest head, byte[] body) {
 		return new GatewayRequest(this, caller, PlatformHeaders.decodeRequest(head), head.headers(), body);
 	}
@@ -622,4 +612,21 @@
 		this.log.line(DecisionLog.Importance.STATE, kind).with("detail", detail).with("ageMs", viewAgeMs()).write();
 	}
 
+	/**
+	 * The open requests, as the guard needs them.
+	 */
+	private final class GuardedRequests implements RequestGuard.Requests {
+
+		@Override
+		public boolean isInFlight(Collection<Long> traits) {
+			return Gateway.this.requests.stream().anyMatch((request) -> request.awaitsResponseWith(traits));
+		}
+
+		@Override
+		public void rejectQuarantined() {
+			List.copyOf(Gateway.this.requests).forEach(GatewayRequest::rejectIfQuarantined);
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -1,5 +1,6 @@
 package org.baobabknot.gateway;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -23,7 +24,8 @@
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
-import org.baobabknot.quarantine.PromptVerdict;
+import org.baobabknot.quarantine.RequestVerdict;
+import org.baobabknot.quarantine.Trial;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,11 +68,14 @@
 	/** Largest event of a stream; typical events have less than 1 kB. */
 	private static final int MAX_EVENT_BYTES = 128 << 10;
 
+	/** Time in which a suspected request is served or crashes its target. */
+	private static final double SUSPICION_MS = 250;
+
 	/**
-	 * Time in which a request with a suspected part of a prompt is served or crashes its
-	 * target.
+	 * Time from the first event of a suspected request after which the next one with the
+	 * same traits may run, although the response is not whole.
 	 */
-	private static final double SUSPICION_MS = 250;
+	private static final long TRIAL_ANSWER_MS = 300;
 
 	/** Objective for the first byte on routes that define none. */
 	private static final long DEFAULT_OBJECTIVE_MS = 1_000;
@@ -91,6 +96,11 @@
 
 	private final Set<String> triedTargets = new HashSet<>();
 
+	/** What the request may have in common with others that crash their targets. */
+	private final List<Long> traits;
+
+	private @Nullable Trial trial;
+
 	private RequestAdmission.@Nullable Admitted admission;
 
 	private long deadlineNanos;
@@ -119,6 +129,7 @@
 		this.log = new RequestLog(gateway, head);
 		this.headers = headers;
 		this.body = body;
+		this.traits = head.sharedParts();
 	}
 
 	/**
@@ -140,45 +151,57 @@
 					retryAfterMs(RetryAfter.ELSEWHERE, 0)));
 			return;
 		}
-		PromptGuard guard = this.gateway.promptGuard();
-		List<Long> parts = this.head.sharedParts();
-		Optional<ErrorResponse> refusal = guard.refusal(parts, this.gateway.isInFlight(guard.suspectedParts(parts)),
-				() -> retryAfterMs(RetryAfter.LATER, SUSPICION_MS));
-		if (refusal.isPresent()) {
-			sendError(refusal.get());
-			return;
-		}
 		this.gateway.requestAdmitted(this, admitted.service().name());
-		startAttempt();
+		this.gateway.requestGuard().admit(this.traits, new GuardOutcome());
 	}
 
 	/**
 	 * Returns whether the request waits for the first byte of its response and has one of
-	 * some parts in its prompt.
-	 * @param parts the parts
+	 * some traits.
+	 * @param candidates the traits
 	 * @return whether it has
 	 */
-	boolean awaitsResponseWith(List<Long> parts) {
+	boolean awaitsResponseWith(Collection<Long> candidates) {
 		TargetAttempt attempt = this.currentAttempt;
-		return attempt != null && !attempt.responseStarted()
-				&& parts.stream().anyMatch(this.head.sharedParts()::contains);
+		return attempt != null && !attempt.responseStarted() && candidates.stream().anyMatch(this.traits::contains);
 	}
 
 	/**
-	 * Ends the request if a part of its prompt was quarantined and no target has
-	 * responded to it. The work of its target is cancelled, which can keep the target
-	 * from crashing.
+	 * Ends the request if it is quarantined and no target has responded to it. The work
+	 * of its target is cancelled, which can keep the target from crashing.
 	 */
 	void rejectIfQuarantined() {
-		if (this.done || this.streaming
-				|| this.gateway.promptGuard().verdict(this.head.sharedParts()) != PromptVerdict.QUARANTINED) {
-			return;
+		if (!this.done && !this.streaming
+				&& this.gateway.requestGuard().verdict(this.traits) == RequestVerdict.QUARANTINED) {
+			rejectQuarantined();
 		}
+	}
+
+	private void rejectQuarantined() {
 		TargetAttempt attempt = this.currentAttempt;
 		if (attempt != null) {
-			attempt.cancel("a part of the prompt was quarantined");
+			attempt.cancel("the request is quarantined");
+		}
+		if (this.streaming) {
+			giveUp("the request is quarantined");
+		}
+		else {
+			sendError(ErrorResponse.harmfulPrompt());
+		}
+	}
+
+	private void releaseTrial() {
+		Trial heldTrial = this.trial;
+		if (heldTrial != null) {
+			releaseTrial(heldTrial);
+		}
+	}
+
+	private void releaseTrial(Trial heldTrial) {
+		if (this.trial == heldTrial) {
+			this.trial = null;
+			this.gateway.requestGuard().release(heldTrial);
 		}
-		sendError(ErrorResponse.harmfulPrompt());
 	}
 
 	private Route route() {
@@ -316,31 +339,52 @@
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), eventCount());
 		if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST
-				&& !this.gateway.promptGuard().verdict(this.head.sharedParts()).mayRetryAfterCrash()) {
+				&& this.gateway.requestGuard().verdict(this.traits) != RequestVerdict.SERVED) {
 			attempt.pooledTarget()
 				.crashProbe()
 				.hasCrashed()
-				.thenAccept((crashed) -> suspectedAttemptFailed(attempt, crashed, failure.toString()));
+				.thenAccept((crashed) -> lostAttemptFailed(attempt, crashed, failure.toString()));
 			return;
 		}
+		releaseTrial();
 		retryOrGiveUp(failure.toString());
 	}
 
-	private void suspectedAttemptFailed(TargetAttempt attempt, boolean crashed, String reason) {
+	private void lostAttemptFailed(TargetAttempt attempt, boolean crashed, String reason) {
+		RequestGuard guard = this.gateway.requestGuard();
 		if (crashed) {
-			this.gateway.promptGuard().recordCrash(attempt.target(), this.head.sharedParts());
+			guard.recordCrash(attempt.target(), this.traits, attempt.written());
 		}
+		releaseTrial();
 		if (this.done) {
 			return;
 		}
-		if (crashed) {
-			giveUp(reason);
+		if (!guard.suspectedTraits(this.traits).isEmpty()) {
+			// Another entry may know a trait to be harmless.
+			this.gateway.loop()
+				.schedule(() -> suspectedAttemptFailed(reason), RequestGuard.ROUND_TRIP_MS, TimeUnit.MILLISECONDS);
 		}
 		else {
 			retryOrGiveUp(reason);
 		}
 	}
 
+	private void suspectedAttemptFailed(String reason) {
+		if (this.done) {
+			return;
+		}
+		RequestGuard guard = this.gateway.requestGuard();
+		if (guard.verdict(this.traits) == RequestVerdict.QUARANTINED) {
+			rejectQuarantined();
+		}
+		else if (guard.suspectedTraits(this.traits).isEmpty()) {
+			retryOrGiveUp(reason);
+		}
+		else {
+			giveUp(reason);
+		}
+	}
+
 	private int eventCount() {
 		StreamEventParser parser = this.streamEvents;
 		return (parser != null) ? parser.eventCount() : 0;
@@ -404,7 +448,7 @@
 		else {
 			attempt.load().recordSuccess(now);
 			if (response.isSuccess()) {
-				this.gateway.promptGuard().recordServed(this.head.sharedParts());
+				this.gateway.requestGuard().recordServed(this.traits);
 			}
 			this.gateway.recordLatency(attempt, (now - attempt.sentNanos()) / (double) NANOS_PER_MS, service());
 		}
@@ -442,7 +486,10 @@
 		}
 		if (!attempt.written()) {
 			attempt.markWritten();
-			this.gateway.promptGuard().recordServed(this.head.sharedParts());
+			Trial answeredTrial = this.trial;
+			if (answeredTrial != null) {
+				this.gateway.loop().schedule(() -> releaseTrial(answeredTrial), TRIAL_ANSWER_MS, TimeUnit.MILLISECONDS);
+			}
 		}
 		startStream(attempt, responseHead);
 		this.connection.sendStreamData(completeEvents);
@@ -477,6 +524,7 @@
 		}
 		startStream(attempt, responseHead);
 		attempt.load().recordSuccess(System.nanoTime());
+		this.gateway.requestGuard().recordServed(this.traits);
 		finish("whole", attempt, "");
 		this.connection.endStream();
 	}
@@ -587,6 +635,7 @@
 	private void finish(String outcome, @Nullable TargetAttempt lastAttempt, String detail) {
 		this.done = true;
 		this.currentAttempt = null;
+		releaseTrial();
 		long durationMs = (System.nanoTime() - this.arrivedNanos) / NANOS_PER_MS;
 		RequestAdmission.Admitted admitted = this.admission;
 		this.gateway.requestCompleted(this, outcome, durationMs);
@@ -595,4 +644,38 @@
 				(admitted != null) ? admitted.urgency() : -1), this.head, lastAttempt);
 	}
 
+	/**
+	 * Continues the request when it is decided whether it may run.
+	 */
+	private final class GuardOutcome implements RequestGuard.Outcome {
+
+		@Override
+		public void admitted(Optional<Trial> admittedTrial) {
+			GatewayRequest.this.trial = admittedTrial.orElse(null);
+			if (GatewayRequest.this.done) {
+				releaseTrial();
+			}
+			else {
+				startAttempt();
+			}
+		}
+
+		@Override
+		public void postponed() {
+			if (!GatewayRequest.this.done) {
+				sendError(ErrorResponse.notRun("part-suspected",
+						"a target crashed under a request that has a part in common with this one",
+						retryAfterMs(RetryAfter.LATER, SUSPICION_MS)));
+			}
+		}
+
+		@Override
+		public void held() {
+			if (!GatewayRequest.this.done) {
+				rejectQuarantined();
+			}
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/PeerReports.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PeerReports.java
@@ -8,9 +8,9 @@
  * Passes the datagrams of other processes on to the state that they update.
  *
  * @param targetPool load of the targets
- * @param promptGuard evidence about parts of prompts
+ * @param requestGuard evidence about requests under which targets crash
  */
-record PeerReports(TargetPool targetPool, PromptGuard promptGuard) implements LoadReceiver.Listener {
+record PeerReports(TargetPool targetPool, RequestGuard requestGuard) implements LoadReceiver.Listener {
 
 	@Override
 	public void loadReported(String address, int requests, boolean acceptsRequests, int linkDelayMs, int lateMs) {
@@ -24,7 +24,7 @@
 
 	@Override
 	public void partsReported(PartReport report, Consumer<PartReport> reply) {
-		this.promptGuard.handle(report, reply);
+		this.requestGuard.handle(report, reply);
 	}
 
 }
--- a/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
@@ -12,7 +12,7 @@
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedConfiguration;
 import org.baobabknot.emulator.EmulatedEngine;
-import org.baobabknot.quarantine.PromptVerdict;
+import org.baobabknot.quarantine.RequestVerdict;
 import org.baobabknot.settings.FleetSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,7 +47,7 @@
 
 	private static final String DEADLY_PART = "dead1";
 
-	private static final List<Long> DEADLY_PROMPT = List.of(0xdead1L);
+	private static final List<Long> DEADLY_PROMPT = List.of(0x50d1L, 0xdead1L);
 
 	private static final String SOUND_PART = "50d1";
 
@@ -99,12 +99,19 @@
 		}
 	}
 
+	private static boolean isServed(EmulatedCaller.Response response) {
+		return response.status() == 200 && response.complete();
+	}
+
 	private long crashes() {
 		return this.engines.stream().filter(EmulatedEngine::hasEnded).count();
 	}
 
-	private static PromptVerdict verdict(Gateway gateway) {
-		return gateway.loop().submit(() -> gateway.promptGuard().verdict(DEADLY_PROMPT)).syncUninterruptibly().getNow();
+	private static RequestVerdict verdict(Gateway gateway) {
+		return gateway.loop()
+			.submit(() -> gateway.requestGuard().verdict(DEADLY_PROMPT))
+			.syncUninterruptibly()
+			.getNow();
 	}
 
 	private int crashTwice() throws Exception {
@@ -125,7 +132,7 @@
 			int served = 0;
 			for (int count = 0; count < 2 * ENGINES; count++) {
 				call(count, SOUND_PART, DEADLY_PART);
-				served += (call(count + 1, SOUND_PART).complete()) ? 1 : 0;
+				served += isServed(call(count + 1, SOUND_PART)) ? 1 : 0;
 				TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
 			}
 			assertThat((int) crashes(), lessThanOrEqualTo(MAX_CRASHES));
@@ -147,7 +154,31 @@
 			assertThat(crashTwice(), is(400));
 			TaintedPromptTests.this.fleet.start(1);
 			Gateway started = TaintedPromptTests.this.fleet.gateways.get(GATEWAYS);
-			GatewayFixture.await(() -> verdict(started) == PromptVerdict.QUARANTINED);
+			GatewayFixture.await(() -> verdict(started) == RequestVerdict.QUARANTINED);
+			assertThat(crashes(), is(2L));
+		}
+
+	}
+
+	/**
+	 * All requests of a caller were rejected when its first ones after a pause had the
+	 * deadly part.
+	 */
+	@Nested
+	class CallersAfterAPause {
+
+		@Test
+		void areServedBesideRequestsWithADeadlyPart() throws Exception {
+			assertThat(call(0, SOUND_PART, DEADLY_PART).status(), is(502));
+			TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
+			assertThat(call(1, SOUND_PART, DEADLY_PART).status(), is(400));
+			TimeUnit.MILLISECONDS.sleep(DELIVERY_MS);
+			int served = 0;
+			for (int count = 0; count < 2 * ENGINES; count++) {
+				served += isServed(call(count, SOUND_PART)) ? 1 : 0;
+				assertThat(call(count, SOUND_PART, DEADLY_PART).status(), is(400));
+			}
+			assertThat(served, is(2 * ENGINES));
 			assertThat(crashes(), is(2L));
 		}
 
