Look for another source before a change is late

Gateways in touch went on with the old configuration for 3.4 s and more after its acknowledgement while both store readers of their region were frozen or cut off: 37 to 54 of 55 requests ran at the old service.

Cause: a follower waited 2.05 s for one silent source, the whole time for a change, then for the next; the first one was out of its back-off before the second had timed out, so the store was never read; a source that answered was taken for fresh, however old its values were. Ruled out: the store (no failed read).

Change: all waits are parts of the time for a change (core SourceTiming): 650 ms for the first silent source, 450 ms for the next, the store when none is left. A source whose values are older than a confirmation allows is left, unless it is receiving a response of the store. Readers confirm every 0.4 of the time for a change. The list of targets goes the same way.

GatewayTests.nothingIsDeniedOnAConfigurationThatIsNotConfirmedInTime: a dropped watch is now replaced within its 2 s, so the store is silent for all of it; same bound and answer.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import org.baobabknot.fleet.FleetView;
 import org.baobabknot.fleet.HeldVersion;
 import org.baobabknot.fleet.ServiceDefinition;
+import org.baobabknot.fleet.SourceTiming;
 import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.fleet.ValueSources;
 import org.baobabknot.httpclient.HttpCall;
@@ -79,12 +80,6 @@
 
 	private static final int SWEEPS_PER_CONNECTION_CHECK = 10;
 
-	/**
-	 * Fraction of the time for revoking a key after which the store must confirm the keys
-	 * again: other gateways relay the confirmation, and one of them may fail.
-	 */
-	private static final double KEY_CONFIRM_INTERVAL_RATIO = 0.25;
-
 	/** Fraction of the time for revoking a key for which a confirmation is valid. */
 	private static final double MAX_KEY_AGE_RATIO = 0.8;
 
@@ -212,10 +207,10 @@
 		EntryRecord self = new EntryRecord(settings.instance(), settings.region(), settings.host(),
 				settings.peerPort());
 		Supplier<ValueSources> sources = () -> ValueSources.forEntry(this.view.entries(), self);
-		this.feed = FleetFeed.forGateway(this.store, new ValueRelay(this.loop, sources),
-				new ValueRelay(this.loop, sources), this.view, this.loop,
-				(long) (bounds.keyMs() * KEY_CONFIRM_INTERVAL_RATIO), bounds.versionMs(), bounds.heartbeatMs(),
-				this::changed);
+		SourceTiming timing = bounds.sourceTiming();
+		this.feed = FleetFeed.forGateway(this.store, new ValueRelay(this.loop, timing, sources),
+				new ValueRelay(this.loop, timing, sources), this.view, this.loop, timing.confirmMs(),
+				bounds.versionMs(), bounds.heartbeatMs(), this::changed);
 		this.valueServer = new ValueServer(this.loop, this.feed::snapshot);
 		this.feed.onUpdate(this.valueServer::respondToWaiting);
 		this.registration = new EntryRegistration(this.store, this.loop, self);
@@ -300,6 +295,10 @@
 		return this.shutdownComplete;
 	}
 
+	String instance() {
+		return this.settings.instance();
+	}
+
 	EventLoop loop() {
 		return this.loop;
 	}
--- a/daemon/src/main/java/org/baobabknot/relay/ValueMessages.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueMessages.java
@@ -91,7 +91,7 @@
 					value.getRevision()));
 		}
 		return new ItemSnapshot(values.getRevision(), values.getPresentMap(), changed, values.getConnected(),
-				values.getAgeMs());
+				values.getAgeMs(), values.getReceiving());
 	}
 
 	static Value toMessage(StoreClient.Item item, ByteString deflated) {
--- a/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
@@ -13,6 +13,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import org.baobabknot.fleet.EntryRecord;
+import org.baobabknot.fleet.SourceTiming;
 import org.baobabknot.fleet.ValueSources;
 import org.baobabknot.httpclient.ConnectionHook;
 import org.baobabknot.httpclient.HttpCall;
@@ -37,31 +38,25 @@
 	/** A process of the same region usually accepts a connection within a few ms. */
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
-	/** Time in which a source must respond, in addition to the wait in the request. */
-	private static final long RESPONSE_MARGIN_MS = 500;
-
 	/** Maximum time without bytes within a response. */
 	private static final Duration IDLE_TIMEOUT = Duration.ofMillis(700);
 
-	/** Time for which a source is skipped after its first failure. */
-	private static final long INITIAL_BACKOFF_MS = 250;
+	/**
+	 * Time for which a source is skipped after its first failure, so that the others are
+	 * tried before it.
+	 */
+	private static final long INITIAL_BACKOFF_MS = 1_200;
 
-	private static final int MAX_BACKOFF_DOUBLINGS = 5;
+	private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
 	/** Delay before the next poll while no source is usable. */
 	private static final long RETRY_DELAY_MS = 50;
 
-	/**
-	 * Time without a response after which a process reads from the store. All processes
-	 * of a region that lost power restart in less time.
-	 */
-	private static final long STORE_FALLBACK_MS = 800;
-
 	/**
 	 * Time between the fallbacks of consecutive processes of a region, so that they do
 	 * not read from the store at the same moment.
 	 */
-	private static final long STORE_FALLBACK_STEP_MS = 60;
+	private static final long STORE_FALLBACK_STEP_MS = 20;
 
 	/** Limit of the steps, so that the last process still confirms its keys in time. */
 	private static final int MAX_STORE_FALLBACK_STEPS = 15;
@@ -74,15 +69,25 @@
 
 	private final Map<String, Source> sources = new HashMap<>();
 
-	private long noSourceSinceNanos;
+	private final SourceTiming timing;
+
+	/** Whether the last response was not usable. */
+	private boolean searching;
+
+	/** Time of the last usable response, or of the first poll. */
+	private long usableNanos;
+
+	private boolean polled;
 
 	/**
 	 * Creates a relay.
 	 * @param loop event loop
+	 * @param timing times for which sources are waited for
 	 * @param followOrder supplies the sources of this process, best first
 	 */
-	public ValueRelay(EventLoop loop, Supplier<ValueSources> followOrder) {
+	public ValueRelay(EventLoop loop, SourceTiming timing, Supplier<ValueSources> followOrder) {
 		this.loop = loop;
+		this.timing = timing;
 		this.followOrder = followOrder;
 	}
 
@@ -92,11 +97,12 @@
 		if (now.sources().isEmpty()) {
 			return true;
 		}
-		if (this.noSourceSinceNanos == 0 || chooseSource(now) != null) {
+		if (!this.searching || chooseSource(now) != null) {
 			return false;
 		}
-		long patienceMs = STORE_FALLBACK_MS + STORE_FALLBACK_STEP_MS * Math.min(now.rank(), MAX_STORE_FALLBACK_STEPS);
-		return System.nanoTime() - this.noSourceSinceNanos > TimeUnit.MILLISECONDS.toNanos(patienceMs);
+		long patienceMs = this.timing.patienceMs()
+				+ STORE_FALLBACK_STEP_MS * Math.min(now.rank(), MAX_STORE_FALLBACK_STEPS);
+		return System.nanoTime() - this.usableNanos > TimeUnit.MILLISECONDS.toNanos(patienceMs);
 	}
 
 	@Override
@@ -106,50 +112,60 @@
 
 	@Override
 	public void onStoreReached() {
-		this.noSourceSinceNanos = 0;
+		recordUsable();
 		this.sources.values().forEach((source) -> source.failures = 0);
 	}
 
 	@Override
 	public CompletableFuture<Optional<ItemSnapshot>> poll(String prefix, Map<String, Long> known, long waitMs,
 			long ageMs) {
+		if (!this.polled) {
+			recordUsable();
+		}
 		Source source = chooseSource(this.followOrder.get());
 		CompletableFuture<Optional<ItemSnapshot>> result = new CompletableFuture<>();
 		if (source == null) {
-			recordNoSource();
+			this.searching = true;
 			this.loop.schedule(() -> result.complete(Optional.empty()), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
 			return result;
 		}
+		long sourceWaitMs = Math.min(waitMs, (this.searching) ? this.timing.searchWaitMs() : this.timing.waitMs());
 		byte[] body = ValuesPull.newBuilder()
 			.setPrefix(prefix)
 			.putAllKnown(known)
-			.setWaitMs((int) waitMs)
+			.setWaitMs((int) sourceWaitMs)
 			.setAgeMs(ageMs)
 			.build()
 			.toByteArray();
 		HttpCall call = new HttpCall("POST", ValueMessages.PATH, List.of(),
-				Duration.ofMillis(waitMs + RESPONSE_MARGIN_MS), IDLE_TIMEOUT, body.length);
+				Duration.ofMillis(sourceWaitMs + this.timing.marginMs()), IDLE_TIMEOUT, body.length);
 		source.client.send(call, body).thenAccept((response) -> result.complete(handleResponse(source, response)));
 		return result;
 	}
 
 	private Optional<ItemSnapshot> handleResponse(Source source, HttpResult response) {
 		Optional<ItemSnapshot> snapshot = decode(source, response);
-		if (snapshot.isPresent() && snapshot.get().connected()) {
+		if (snapshot.isPresent() && isUsable(snapshot.get())) {
 			source.failures = 0;
-			this.noSourceSinceNanos = 0;
+			recordUsable();
 		}
 		else {
 			source.recordFailure(System.nanoTime());
-			recordNoSource();
+			this.searching = true;
 		}
 		return snapshot;
 	}
 
-	private void recordNoSource() {
-		if (this.noSourceSinceNanos == 0) {
-			this.noSourceSinceNanos = System.nanoTime();
-		}
+	// A source that responds and whose values only grow older may itself have lost the
+	// store, or follow this process.
+	private boolean isUsable(ItemSnapshot snapshot) {
+		return snapshot.connected() && (snapshot.ageMs() <= this.timing.maxAgeMs() || snapshot.receiving());
+	}
+
+	private void recordUsable() {
+		this.polled = true;
+		this.searching = false;
+		this.usableNanos = System.nanoTime();
 	}
 
 	private static Optional<ItemSnapshot> decode(Source source, HttpResult result) {
--- a/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueServer.java
@@ -199,6 +199,7 @@
 				.setRevision(snapshot.revision())
 				.setAgeMs(snapshot.ageMs())
 				.setConnected(snapshot.connected())
+				.setReceiving(snapshot.receiving())
 				.putAllPresent(snapshot.presentRevisions());
 			discardRemoved(this.request.getPrefix(), snapshot);
 			for (StoreClient.Item item : snapshot.changedItems()) {
--- a/daemon/src/main/java/org/baobabknot/settings/FleetSettings.java
+++ b/daemon/src/main/java/org/baobabknot/settings/FleetSettings.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.baobabknot.fleet.SourceTiming;
+
 /**
  * Settings of a process that runs on the users' platform.
  *
@@ -79,6 +81,22 @@
 	 */
 	public record Bounds(long configurationMs, long keyMs, long versionMs, long shutdownMs, double retryRatio,
 			long retryWindowMs, double retryMinimum, double coldOvershoot, double coldSlack, long heartbeatMs) {
+
+		/**
+		 * Fraction of the time for revoking a key after which the store must confirm the
+		 * keys again: other processes relay the confirmation, and one of them may fail.
+		 */
+		private static final double KEY_CONFIRM_INTERVAL_RATIO = 0.25;
+
+		/**
+		 * Returns how long a process waits for others from which it reads values.
+		 * @return the timing
+		 */
+		public SourceTiming sourceTiming() {
+			return SourceTiming.forChangesWithin(this.configurationMs,
+					(long) (this.keyMs * KEY_CONFIRM_INTERVAL_RATIO));
+		}
+
 	}
 
 	/**
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -26,7 +26,7 @@
 
 	private final EventLoopGroup storeGroup = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+	private final EventLoopGroup group;
 
 	private final FleetSettings.Bounds bounds;
 
@@ -38,6 +38,17 @@
 	final List<Integer> callerPorts = new ArrayList<>();
 
 	GatewayFleet(long linkBytesPerSecond, FleetSettings.Bounds bounds) {
+		this(linkBytesPerSecond, bounds, 2);
+	}
+
+	/**
+	 * Creates a fleet without gateways.
+	 * @param linkBytesPerSecond rate of the link to the store
+	 * @param bounds bounds of the gateways
+	 * @param loops event loops among which the gateways are divided
+	 */
+	GatewayFleet(long linkBytesPerSecond, FleetSettings.Bounds bounds, int loops) {
+		this.group = new MultiThreadIoEventLoopGroup(loops, NioIoHandler.newFactory());
 		this.store.limitBandwidth(linkBytesPerSecond);
 		this.bounds = bounds;
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
@@ -299,6 +299,7 @@
 			GatewayTests.this.fixture.close();
 			GatewayTests.this.fixture = new GatewayFixture(20_000);
 			GatewayTests.this.fixture.start();
+			GatewayTests.this.fixture.store.setSilent(true);
 			GatewayTests.this.fixture.store.dropWatchesSilently();
 			assertThat(GatewayTests.this.fixture.call("GET", "/none/x", "r1", "").status(), is(404));
 			Thread.sleep(GatewayFixture.CONFIGURATION_MS);
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -1,5 +1,6 @@
 package org.baobabknot.relay;
 
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import org.baobabknot.emulator.EmulatedServer;
 import org.baobabknot.emulator.TestPorts;
 import org.baobabknot.fleet.EntryRecord;
+import org.baobabknot.fleet.SourceTiming;
 import org.baobabknot.fleet.ValueSources;
 import org.baobabknot.provider.ItemSnapshot;
 import org.baobabknot.provider.StoreClient;
@@ -30,6 +32,9 @@
  */
 class ValueRelayTests {
 
+	/** Time in which a change must be in force. */
+	private static final long CHANGE_MS = 2_000;
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = this.group.next();
@@ -57,7 +62,8 @@
 	}
 
 	private ValueRelay relayOf(EntryRecord... sources) {
-		return new ValueRelay(this.loop, () -> new ValueSources(List.of(sources), 3));
+		return new ValueRelay(this.loop, SourceTiming.forChangesWithin(CHANGE_MS, CHANGE_MS),
+				() -> new ValueSources(List.of(sources), 3));
 	}
 
 	private Optional<ItemSnapshot> poll(ValueRelay relay) throws Exception {
@@ -124,6 +130,47 @@
 			return new ItemSnapshot(5, Map.of("k", 5L), List.of(), false, 3_000);
 		}
 
+		/**
+		 * A silent source was waited for as long as a change may take, and chosen again
+		 * before the store was.
+		 */
+		@Test
+		void silentSourcesLeaveTimeToReadTheStore() throws Exception {
+			try (ServerSocket first = new ServerSocket(0); ServerSocket second = new ServerSocket(0)) {
+				ValueRelay relay = relayOf(entry(first.getLocalPort()), entry(second.getLocalPort()));
+				long startNanos = System.nanoTime();
+				while (!readsStore(relay)) {
+					ValueRelayTests.this.loop.submit(() -> relay.poll("", Map.of("k", 5L), 1_500, 10))
+						.get()
+						.get(5, TimeUnit.SECONDS);
+				}
+				assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos),
+						is(lessThan(CHANGE_MS * 3 / 4)));
+			}
+		}
+
+		/** A source that follows others was taken for fresh as long as it responded. */
+		@Test
+		void aSourceWhoseValuesOnlyGrowOlderIsReplaced() throws Exception {
+			ItemSnapshot old = new ItemSnapshot(5, Map.of("k", 5L), List.of(), true, 1_300);
+			ValueRelay relay = relayOf(startServer(old), startServer(changedSnapshot(7, true)));
+			assertThat(revision(relay), is(5L));
+			assertThat(revision(relay), is(7L));
+		}
+
+		/** Guards against copies of a large value that all processes read at once. */
+		@Test
+		void aSourceThatIsReceivingANewerValueIsKept() throws Exception {
+			ItemSnapshot old = new ItemSnapshot(5, Map.of("k", 5L), List.of(), true, 1_300, true);
+			ValueRelay relay = relayOf(startServer(old), startServer(changedSnapshot(7, true)));
+			assertThat(revision(relay), is(5L));
+			assertThat(revision(relay), is(5L));
+		}
+
+		private static EntryRecord entry(int port) {
+			return new EntryRecord("e" + port, "a", "127.0.0.1", port);
+		}
+
 		@Test
 		void aRecoveredSourceIsUsedAgain() throws Exception {
 			EntryRecord entry = unreachableEntry();
