--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -51,6 +51,7 @@
 			.with("afterMs", (now - attempt.sentNanos()) / NANOS_PER_MS)
 			.with("events", events)
 			.with("parts", parts())
+			.with("framing", attempt.framing())
 			.write();
 	}
 
@@ -75,6 +76,7 @@
 			.with("linkMs", (lastAttempt != null) ? Math.round(lastAttempt.load().linkDelayMs(System.nanoTime())) : -1)
 			.with("attemptMs",
 					(lastAttempt != null) ? (System.nanoTime() - lastAttempt.sentNanos()) / NANOS_PER_MS : -1)
+			.with("framing", (lastAttempt != null) ? lastAttempt.framing() : "")
 			.with("sends", summary.attempts())
 			.with("events", summary.events())
 			.with("tookMs", summary.durationMs())
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -120,6 +120,19 @@
 		this.written = true;
 	}
 
+	/**
+	 * Returns what marks the end of the response, for the log.
+	 * @return {@code none} before its head was received, {@code close} for the end of the
+	 * connection, else {@code stated}
+	 */
+	String framing() {
+		ResponseHead head = this.responseHead;
+		if (head == null) {
+			return "none";
+		}
+		return (head.isCloseDelimited()) ? "close" : "stated";
+	}
+
 	boolean responseStarted() {
 		return this.responseHead != null;
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/UnframedResponseTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/UnframedResponseTests.java
@@ -135,6 +135,18 @@
 			assertThat(response.body(), is(events(3)));
 		}
 
+		/** The users' record: the caller had an empty answer as complete. */
+		@ParameterizedTest
+		@ValueSource(booleans = { true, false })
+		void aStreamThatEndsBeforeItsFirstEventInACrashIsNotWhole(boolean leaving) throws Exception {
+			EmulatedEngine engine = addLongStreams();
+			engine.crashesAfterHead = true;
+			engine.statesLeaving = leaving;
+			UnframedResponseTests.this.fixture.start();
+			EmulatedCaller.Response response = UnframedResponseTests.this.fixture.callStream("r1");
+			assertThat(response.status() == 200 && response.complete(), is(false));
+		}
+
 		@Test
 		void aStreamIsBrokenOffWhenItsLeavingTargetCrashes() throws Exception {
 			EmulatedEngine engine = addLongStreams();
