Log the content of a request with each failed attempt

The lines name the id of a request, which changes with each try, and the parts of its prompt, which sound requests have too.

Change: content, a hash of what a target receives, in attempt-failed.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -126,10 +126,11 @@
 		this.gateway = gateway;
 		this.connection = connection;
 		this.head = head;
-		this.log = new RequestLog(gateway, head);
 		this.headers = headers;
 		this.body = body;
-		this.traits = head.sharedParts();
+		RequestTraits requestTraits = RequestTraits.of(head, body);
+		this.traits = requestTraits.sharedParts();
+		this.log = new RequestLog(gateway, head, requestTraits);
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -1,6 +1,5 @@
 package org.baobabknot.gateway;
 
-import java.util.List;
 import java.util.stream.Collectors;
 
 import org.baobabknot.fleet.FleetConfiguration;
@@ -22,12 +21,12 @@
 
 	private final String requestId;
 
-	private final List<Long> sharedParts;
+	private final RequestTraits traits;
 
-	RequestLog(Gateway gateway, CallerRequestHead head) {
+	RequestLog(Gateway gateway, CallerRequestHead head, RequestTraits traits) {
 		this.gateway = gateway;
 		this.requestId = head.requestId();
-		this.sharedParts = head.sharedParts();
+		this.traits = traits;
 	}
 
 	/**
@@ -51,12 +50,14 @@
 			.with("afterMs", (now - attempt.sentNanos()) / NANOS_PER_MS)
 			.with("events", events)
 			.with("parts", parts())
+			.with("content", Long.toHexString(this.traits.content()))
 			.with("framing", attempt.framing())
 			.write();
 	}
 
 	private String parts() {
-		return this.sharedParts.stream()
+		return this.traits.sharedParts()
+			.stream()
 			.limit(MAX_LOGGED_PARTS)
 			.map(Long::toHexString)
 			.collect(Collectors.joining(","));
