Suspect the content of a request, not only the parts of its prompt

Cause: evidence was kept for parts of prompts only; all parts of the request were in use and so harmless, its content is what comes again. Gateways sent it to a second engine themselves (13 of 24 ids), resumed it, and its callers sent it again. Ruled out: a part (served with events at the same engines), load (first ends 0.2 s apart on warm engines).

Change: the content is a trait in the same Quarantine. A suspect without an event is repeated once, as the one trial of its content, spread over the engines, when all parts of its prompt are known to be harmless; returning suspects run alone where the least work is. A response acquits only if its target ran the request from the beginning.

--- a/core/src/main/java/org/baobabknot/quarantine/Quarantine.java
+++ b/core/src/main/java/org/baobabknot/quarantine/Quarantine.java
@@ -270,6 +270,15 @@
 		}).toList();
 	}
 
+	/**
+	 * Returns whether a trait was in a crash.
+	 * @param traits the traits
+	 * @return whether one was, and was not served since
+	 */
+	public boolean hasEvidence(Collection<Long> traits) {
+		return traits.stream().anyMatch(this.suspectsByTrait::containsKey);
+	}
+
 	/**
 	 * Returns all traits under which several targets crashed. Requests with all of the
 	 * traits that were in the same crashes are held back.
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -55,6 +55,7 @@
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
 import org.baobabknot.placement.ShutdownWindow;
+import org.baobabknot.placement.TrialPlacement;
 import org.baobabknot.protocol.generated.PartReport;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.EntryRegistration;
@@ -448,10 +449,12 @@
 	 * @param allowedRegions regions that may serve the request, empty for all
 	 * @param tried identities of targets to which it was sent before
 	 * @param work cost and time limits of the request
+	 * @param trial which targets are preferred because the request may crash its target
+	 * @param content hash of the content of the request
 	 * @return the target, or the reason why there is none
 	 */
 	PlacementResult chooseTarget(ServiceDefinition service, String model, Set<String> allowedRegions, Set<String> tried,
-			RequestEstimate work) {
+			RequestEstimate work, TrialPlacement trial, long content) {
 		long now = System.nanoTime();
 		FleetSettings.Bounds bounds = this.settings.bounds();
 		int maxColdSenders = ColdSenders.maxSenders(service.coldRatePerSecond(), bounds.coldOvershoot(),
@@ -483,6 +486,13 @@
 		// While the list of entries is incomplete, any of them may send to a cold target.
 		int senders = (this.view.entriesComplete()) ? Math.min(maxColdSenders, this.view.limitDivisor())
 				: this.view.limitDivisor();
+		List<Candidate> preferred = trial.preferred(candidates, content, now);
+		if (!preferred.isEmpty()) {
+			PlacementResult result = this.placement.choose(preferred, work, service.coldRatePerSecond(), senders, now);
+			if (result instanceof PlacementResult.TargetChosen) {
+				return result;
+			}
+		}
 		return this.placement.choose(candidates, work, service.coldRatePerSecond(), senders, now);
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -21,6 +21,7 @@
 import org.baobabknot.placement.PlacementResult;
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.placement.TrialPlacement;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
@@ -96,7 +97,9 @@
 
 	private final Set<String> triedTargets = new HashSet<>();
 
-	/** What the request may have in common with others that crash their targets. */
+	private final RequestTraits requestTraits;
+
+	/** All of its traits. */
 	private final List<Long> traits;
 
 	private @Nullable Trial trial;
@@ -119,6 +122,8 @@
 
 	private @Nullable TargetAttempt currentAttempt;
 
+	private @Nullable TargetAttempt streamStartedBy;
+
 	private @Nullable StreamEventParser streamEvents;
 
 	GatewayRequest(Gateway gateway, GatewayConnection connection, CallerRequestHead head, HttpHeaders headers,
@@ -128,9 +133,9 @@
 		this.head = head;
 		this.headers = headers;
 		this.body = body;
-		RequestTraits requestTraits = RequestTraits.of(head, body);
-		this.traits = requestTraits.sharedParts();
-		this.log = new RequestLog(gateway, head, requestTraits);
+		this.requestTraits = RequestTraits.of(head, body);
+		this.traits = this.requestTraits.all();
+		this.log = new RequestLog(gateway, head, this.requestTraits);
 	}
 
 	/**
@@ -223,7 +228,8 @@
 			return;
 		}
 		PlacementResult result = this.gateway.chooseTarget(service, this.head.model(), admitted.regions(),
-				this.triedTargets, work(admitted.route(), service, now, remainingMs));
+				this.triedTargets, work(admitted.route(), service, now, remainingMs), trialPlacement(),
+				this.requestTraits.content());
 		if (result instanceof PlacementResult.TargetChosen chosen) {
 			send(chosen, remainingMs, now);
 		}
@@ -239,6 +245,13 @@
 		}
 	}
 
+	private TrialPlacement trialPlacement() {
+		if (this.trial == null) {
+			return TrialPlacement.NONE;
+		}
+		return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
+	}
+
 	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
 		if (this.mayHaveRun || this.streaming) {
 			giveUp("all targets are " + reason);
@@ -339,46 +352,55 @@
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), eventCount());
-		if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST
-				&& this.gateway.requestGuard().verdict(this.traits) != RequestVerdict.SERVED) {
-			attempt.pooledTarget()
-				.crashProbe()
-				.hasCrashed()
-				.thenAccept((crashed) -> lostAttemptFailed(attempt, crashed, failure.toString()));
+		String reason = failure.toString();
+		if (failure.kind() != HttpFailure.Kind.CONNECTION_LOST) {
+			releaseTrial();
+			retryOrGiveUp(reason);
 			return;
 		}
-		releaseTrial();
-		retryOrGiveUp(failure.toString());
+		// One crash in the middle of a response does not make a request suspected, so the
+		// stream goes on before the crash is certain.
+		boolean continues = attempt.written() && !this.gateway.requestGuard().hasEvidence(this.traits);
+		attempt.pooledTarget()
+			.crashProbe()
+			.hasCrashed()
+			.thenAccept(
+					(crashed) -> crashChecked(attempt, crashed, (continues) ? Optional.empty() : Optional.of(reason)));
+		if (continues) {
+			retryOrGiveUp(reason);
+		}
 	}
 
-	private void lostAttemptFailed(TargetAttempt attempt, boolean crashed, String reason) {
+	private void crashChecked(TargetAttempt attempt, boolean crashed, Optional<String> reason) {
 		RequestGuard guard = this.gateway.requestGuard();
 		if (crashed) {
 			guard.recordCrash(attempt.target(), this.traits, attempt.written());
 		}
+		if (reason.isEmpty()) {
+			return;
+		}
 		releaseTrial();
 		if (this.done) {
 			return;
 		}
-		if (!guard.suspectedTraits(this.traits).isEmpty()) {
-			// Another entry may know a trait to be harmless.
-			this.gateway.loop()
-				.schedule(() -> suspectedAttemptFailed(reason), RequestGuard.ROUND_TRIP_MS, TimeUnit.MILLISECONDS);
+		if (guard.suspectedTraits(this.requestTraits.sharedParts()).isEmpty()) {
+			retryOrGiveUp(reason.get());
 		}
 		else {
-			retryOrGiveUp(reason);
+			// Another entry may know a part to be harmless.
+			this.gateway.loop()
+				.schedule(() -> partsSuspected(reason.get()), RequestGuard.ROUND_TRIP_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private void suspectedAttemptFailed(String reason) {
+	// A part that several requests have and that was in a crash is more likely to be the
+	// cause than the rest of a request, so only the caller sends it again.
+	private void partsSuspected(String reason) {
 		if (this.done) {
 			return;
 		}
-		RequestGuard guard = this.gateway.requestGuard();
-		if (guard.verdict(this.traits) == RequestVerdict.QUARANTINED) {
-			rejectQuarantined();
-		}
-		else if (guard.suspectedTraits(this.traits).isEmpty()) {
+		if (this.gateway.requestGuard().suspectedTraits(this.requestTraits.sharedParts()).isEmpty()
+				|| !this.gateway.requestGuard().verdict(this.traits).mayRun()) {
 			retryOrGiveUp(reason);
 		}
 		else {
@@ -397,11 +419,15 @@
 		if (parser != null) {
 			parser.takePending().release();
 		}
-		if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
-			startAttempt();
-			return;
+		if (!this.gateway.requestGuard().verdict(this.traits).mayRun()) {
+			rejectQuarantined();
+		}
+		else if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
+			this.gateway.requestGuard().admit(this.traits, new GuardOutcome());
+		}
+		else {
+			giveUp(reason);
 		}
-		giveUp(reason);
 	}
 
 	private boolean mayRetry() {
@@ -502,6 +528,7 @@
 			return;
 		}
 		this.streaming = true;
+		this.streamStartedBy = attempt;
 		long now = System.nanoTime();
 		this.gateway.recordLatency(attempt, (now - attempt.sentNanos()) / (double) NANOS_PER_MS, service());
 		this.connection.startStream(PlatformHeaders.decodeResponse(responseHead).status(),
@@ -525,7 +552,12 @@
 		}
 		startStream(attempt, responseHead);
 		attempt.load().recordSuccess(System.nanoTime());
-		this.gateway.requestGuard().recordServed(this.traits);
+		// A target that only goes on after the last event has not shown that it survives
+		// the
+		// events before.
+		if (this.streamStartedBy == attempt && this.head.lastEventId() < 0) {
+			this.gateway.requestGuard().recordServed(this.traits);
+		}
 		finish("whole", attempt, "");
 		this.connection.endStream();
 	}
@@ -663,10 +695,15 @@
 
 		@Override
 		public void postponed() {
-			if (!GatewayRequest.this.done) {
-				sendError(ErrorResponse.notRun("part-suspected",
-						"a target crashed under a request that has a part in common with this one",
-						retryAfterMs(RetryAfter.LATER, SUSPICION_MS)));
+			if (GatewayRequest.this.done) {
+				return;
+			}
+			String detail = "a target crashed under a request that has something in common with this one";
+			if (GatewayRequest.this.mayHaveRun) {
+				giveUp(detail);
+			}
+			else {
+				sendError(ErrorResponse.notRun("part-suspected", detail, retryAfterMs(RetryAfter.LATER, SUSPICION_MS)));
 			}
 		}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
@@ -100,6 +100,15 @@
 		return this.quarantine.verdict(traits, now());
 	}
 
+	/**
+	 * Returns whether a trait of a request was in a crash.
+	 * @param traits traits of the request
+	 * @return whether there is any evidence, too weak for a suspicion or not
+	 */
+	boolean hasEvidence(Collection<Long> traits) {
+		return this.quarantine.hasEvidence(traits);
+	}
+
 	/**
 	 * Returns the traits of a request that were in a crash.
 	 * @param traits traits of the request
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestTraits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestTraits.java
@@ -1,5 +1,6 @@
 package org.baobabknot.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import com.dynatrace.hash4j.hashing.Hashing;
@@ -14,6 +15,16 @@
  */
 record RequestTraits(List<Long> sharedParts, long content) {
 
+	/**
+	 * Returns all traits.
+	 * @return the parts, followed by the content
+	 */
+	List<Long> all() {
+		List<Long> traits = new ArrayList<>(this.sharedParts);
+		traits.add(this.content);
+		return traits;
+	}
+
 	static RequestTraits of(CallerRequestHead head, byte[] body) {
 		long content = Hashing.komihash5_0()
 			.hashStream()
