Ignore SIGHUP until the settings are read

Seen by the review: a SIGHUP within about 0.3 s of the start ended a gateway with status 129, since the handler was installed last.

Change: the signal is ignored from the first statement of main on, and handled once the role has started; the settings are read in between anyway. What comes before the JVM runs main can't be caught by the program.

Evidence: by reading; no test sends a signal to a starting process in this commit.

--- a/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
@@ -21,6 +21,7 @@
 import org.baobabknot.settings.FleetSettingsReader;
 import org.baobabknot.settings.SettingsError;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Main class of the gateway and loader processes, which run on the users' platform.
@@ -39,6 +40,9 @@
 	 * @param arguments command line
 	 */
 	public static void main(String[] arguments) {
+		// Its default action would end the process, and the settings are read below
+		// anyway.
+		Signal.handle(new Signal("HUP"), SignalHandler.SIG_IGN);
 		System.exit(run(arguments, System.out, System.err));
 	}
 
