Bound the memory of request bodies that a gateway holds

Cause: bodies were limited one by one only.

A body without room is refused at once as not run, to return to another gateway. Not built: shares of workspaces, one budget for all that a process holds, the entry.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -113,6 +113,12 @@
 	/** Fraction of the heap for buffered responses; buffers grow by doubling. */
 	private static final double RESPONSE_HEAP_RATIO = 0.2;
 
+	/**
+	 * Fraction of the heap for request bodies, which are held until their requests end. A
+	 * body is copied once while it is received.
+	 */
+	private static final double BODY_HEAP_RATIO = 0.25;
+
 	/** Fraction of the heap for pipelined requests of callers. */
 	private static final double PIPELINE_HEAP_RATIO = 0.1;
 
@@ -148,11 +154,11 @@
 
 	private final TargetPool targetPool;
 
-	private final BufferBudget responseBudget = new BufferBudget(
-			(long) (Runtime.getRuntime().maxMemory() * RESPONSE_HEAP_RATIO), MAX_RESPONSE_BYTES);
+	private final BufferBudget responseBudget;
+
+	private final BufferBudget bodyBudget;
 
-	private final BufferBudget pipelineBudget = new BufferBudget(
-			(long) (Runtime.getRuntime().maxMemory() * PIPELINE_HEAP_RATIO), MAX_PIPELINED_BYTES);
+	private final BufferBudget pipelineBudget;
 
 	private final LoadReceiver loadReceiver;
 
@@ -197,6 +203,20 @@
 	 * @param log log of its decisions
 	 */
 	public Gateway(FleetSettings settings, EventLoopGroup group, DecisionLog log) {
+		this(settings, group, log, Runtime.getRuntime().maxMemory());
+	}
+
+	/**
+	 * Creates a gateway that uses a part of the heap.
+	 * @param settings its settings
+	 * @param group supplies its event loop, an NIO group
+	 * @param log log of its decisions
+	 * @param heapBytes memory of which it may fill parts with what it holds for callers
+	 */
+	Gateway(FleetSettings settings, EventLoopGroup group, DecisionLog log, long heapBytes) {
+		this.responseBudget = new BufferBudget((long) (heapBytes * RESPONSE_HEAP_RATIO), MAX_RESPONSE_BYTES);
+		this.bodyBudget = new BufferBudget((long) (heapBytes * BODY_HEAP_RATIO), Integer.MAX_VALUE);
+		this.pipelineBudget = new BufferBudget((long) (heapBytes * PIPELINE_HEAP_RATIO), MAX_PIPELINED_BYTES);
 		this.settings = settings;
 		this.loop = group.next();
 		this.log = log;
@@ -312,6 +332,10 @@
 		return this.pipelineBudget;
 	}
 
+	BufferBudget bodyBudget() {
+		return this.bodyBudget;
+	}
+
 	BufferBudget responseBudget() {
 		return this.responseBudget;
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -35,6 +35,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.baobabknot.fleet.CallerLimits;
 import org.baobabknot.httpclient.HttpHeader;
+import org.baobabknot.placement.RetryAfter;
 import org.baobabknot.provider.PlatformHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -64,6 +65,9 @@
 
 	private @Nullable ByteBuf body;
 
+	/** Memory that is reserved for the body of the open request. */
+	private int reservedBodyBytes;
+
 	private @Nullable GatewayRequest request;
 
 	/** HTTP version of the open request. */
@@ -293,6 +297,14 @@
 			sendError(bodyTooLong(), PlatformHeaders.decodeRequest(httpRequest).requestId());
 			return;
 		}
+		if (!this.gateway.bodyBudget().tryGrow(this.reservedBodyBytes, content.content().readableBytes())) {
+			sendError(
+					ErrorResponse.notRun("no-room", "other requests use the memory for bodies",
+							this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)),
+					PlatformHeaders.decodeRequest(httpRequest).requestId());
+			return;
+		}
+		this.reservedBodyBytes += content.content().readableBytes();
 		if (content.content().isReadable()) {
 			if (buffered == null) {
 				buffered = Unpooled.buffer(content.content().readableBytes());
@@ -305,7 +317,7 @@
 			if (buffered != null) {
 				buffered.readBytes(bodyBytes);
 			}
-			releaseBody();
+			releaseBuffer();
 			this.head = null;
 			this.version = httpRequest.protocolVersion();
 			this.request = this.gateway.createRequest(this, httpRequest, bodyBytes);
@@ -330,6 +342,13 @@
 	}
 
 	private void releaseBody() {
+		releaseBuffer();
+		this.gateway.bodyBudget().release(this.reservedBodyBytes);
+		this.reservedBodyBytes = 0;
+	}
+
+	// The request holds a copy, for which the memory stays reserved.
+	private void releaseBuffer() {
 		ByteBuf buffered = this.body;
 		this.body = null;
 		if (buffered != null) {
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
@@ -66,6 +66,10 @@
 	}
 
 	GatewayFixture(long keyMs) {
+		this(keyMs, Runtime.getRuntime().maxMemory());
+	}
+
+	GatewayFixture(long keyMs, long heapBytes) {
 		FleetSettings.HostPort storeAddress = address(this.store.address());
 		FleetSettings settings = new FleetSettings(FleetSettings.FleetRole.GATEWAY, "entry-1", "a", "ra",
 				Map.of("a", "ra", "b", "rb"), "127.0.0.1",
@@ -74,7 +78,7 @@
 				this.reportPort, TestPorts.findFree(),
 				new FleetSettings.Bounds(CONFIGURATION_MS, keyMs, 8_000, 8_000, 0.2, 10_000, 200, 1.5, 5, 1_200),
 				new FleetSettings.Resources(1_000, 1_000_000));
-		this.gateway = new Gateway(settings, this.group, new DecisionLog("entry-1", this.logOutput));
+		this.gateway = new Gateway(settings, this.group, new DecisionLog("entry-1", this.logOutput), heapBytes);
 	}
 
 	static FleetSettings.HostPort address(String text) {
