Split the gateway and its requests by what they own

No change of behaviour is intended: one difference is that the parser of a stream exists from the start of a request.

Evidence: all tests of org.baobabknot.gateway pass.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -1,13 +1,9 @@
 package org.baobabknot.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -15,17 +11,12 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -35,8 +26,6 @@
 import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.fleet.FleetConfiguration;
 import org.baobabknot.fleet.FleetView;
-import org.baobabknot.fleet.HeldVersion;
-import org.baobabknot.fleet.ServiceDefinition;
 import org.baobabknot.fleet.SourceTiming;
 import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.fleet.ValueSources;
@@ -46,16 +35,10 @@
 import org.baobabknot.observe.LoopDelayMeter;
 import org.baobabknot.observe.OperatorServer;
 import org.baobabknot.observe.StoreCallMetrics;
-import org.baobabknot.placement.ArrivalRate;
-import org.baobabknot.placement.Candidate;
-import org.baobabknot.placement.ColdSenders;
 import org.baobabknot.placement.Placement;
-import org.baobabknot.placement.PlacementResult;
 import org.baobabknot.placement.PlacementSettings;
-import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
 import org.baobabknot.placement.ShutdownWindow;
-import org.baobabknot.placement.TrialPlacement;
 import org.baobabknot.protocol.generated.PartReport;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.EntryRegistration;
@@ -65,7 +48,6 @@
 import org.baobabknot.provider.TargetRequestHead;
 import org.baobabknot.relay.ValueRelay;
 import org.baobabknot.relay.ValueServer;
-import org.baobabknot.retry.FleetRetryBudget;
 import org.baobabknot.settings.FleetSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -84,15 +66,6 @@
 	/** Fraction of the time for revoking a key for which a confirmation is valid. */
 	private static final double MAX_KEY_AGE_RATIO = 0.8;
 
-	/**
-	 * Time before the deadline for a new version at which older versions get no more
-	 * requests: the time to first byte of a busy target.
-	 */
-	private static final long VERSION_MARGIN_MS = 400;
-
-	/** Fraction of the allowed retries that all processes use together. */
-	private static final double RETRY_BUDGET_RATIO = 0.8;
-
 	/** Time after SIGTERM with new connections: two missed health checks and 1 s more. */
 	private static final long BALANCER_LAG_MS = 3_500;
 
@@ -102,11 +75,6 @@
 	/** Remaining time of a caller that states none; typical is about a second. */
 	private static final long DEFAULT_REMAINING_MS = 1_000;
 
-	private static final int BACKLOG = 1_024;
-
-	/** Reads of one connection before the others are read, the default of Netty. */
-	private static final int MAX_READS = 16;
-
 	/** Fraction of the file descriptors for connections of callers. */
 	private static final double CALLER_DESCRIPTORS_RATIO = 0.5;
 
@@ -131,11 +99,6 @@
 	/** Largest response that is buffered, as large as the largest request. */
 	private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
-	/** Latency assumed for a plain service before its first response. */
-	private static final double DEFAULT_LATENCY_MS = 50;
-
-	private static final double NEWEST_LATENCY_RATIO = 0.05;
-
 	private final FleetSettings settings;
 
 	private final EventLoop loop;
@@ -164,13 +127,11 @@
 
 	private final RequestGuard requestGuard;
 
-	private final Placement placement;
+	private final TargetSelection selection;
 
-	private final RandomGenerator random = new SplittableRandom();
+	private final ServiceTraffic traffic;
 
-	private final Map<String, ArrivalRate> arrivalRates = new HashMap<>();
-
-	private final Map<String, FleetRetryBudget> budgets = new HashMap<>();
+	private final RandomGenerator random = new SplittableRandom();
 
 	private final GatewayMetrics metrics;
 
@@ -182,8 +143,6 @@
 
 	private final Set<GatewayRequest> requests = new HashSet<>();
 
-	private final Map<String, Double> averageLatencyMs = new HashMap<>();
-
 	private final CompletableFuture<Void> shutdownComplete = new CompletableFuture<>();
 
 	private volatile boolean ready;
@@ -240,7 +199,9 @@
 				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
 		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard),
 				this::otherEntriesOfRegion);
-		this.placement = new Placement(PlacementSettings.defaults(), this.random);
+		this.selection = new TargetSelection(settings, this.view, this.targetPool,
+				new Placement(PlacementSettings.defaults(), this.random));
+		this.traffic = new ServiceTraffic(this.view, bounds);
 		this.loopDelay = new LoopDelayMeter(SWEEP_INTERVAL_MS, registry, log);
 		this.metrics = new GatewayMetrics(registry, log::droppedLines);
 		this.operatorPort = new OperatorServer(this.loop, registry, () -> this.ready);
@@ -253,33 +214,8 @@
 	public CompletableFuture<Void> start() {
 		FleetSettings.HostPort callerAddress = this.settings.callerAddress().orElseThrow();
 		FleetSettings.HostPort readinessAddress = this.settings.readinessAddress().orElseThrow();
-		CompletableFuture<Void> bound = new CompletableFuture<>();
-		new ServerBootstrap().group(this.loop)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
-			.option(ChannelOption.SO_REUSEADDR, true)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			// Reads until no data is left, so that a close right after a request is seen
-			// before the request is sent to a target.
-			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
-					new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS))
-			.childOption(ChannelOption.SO_KEEPALIVE, true)
-			.childHandler(new ChannelInitializer<>() {
-				@Override
-				protected void initChannel(Channel channel) {
-					accept(channel);
-				}
-			})
-			.bind(callerAddress.host(), callerAddress.port())
-			.addListener((done) -> {
-				if (done.isSuccess()) {
-					bound.complete(null);
-				}
-				else {
-					bound.completeExceptionally(done.cause());
-				}
-			});
-		return bound.thenCompose((done) -> this.operatorPort.bind(readinessAddress.host(), readinessAddress.port()))
+		return CallerPort.bind(this.loop, callerAddress, this::accept)
+			.thenCompose((done) -> this.operatorPort.bind(readinessAddress.host(), readinessAddress.port()))
 			.thenCompose((done) -> this.operatorPort.bind(this.settings.host(), this.settings.metricsPort()))
 			.thenCompose((done) -> this.loadReceiver.bind(this.loop, this.settings.host(), this.settings.peerPort()))
 			.thenCompose((done) -> this.valueServer.bind(this.settings.host(), this.settings.peerPort()))
@@ -407,17 +343,13 @@
 		return policy.delayMs(waitMs, (remainingMs >= 0) ? remainingMs : DEFAULT_REMAINING_MS, this.random);
 	}
 
-	double averageLatencyMs(String service) {
-		return this.averageLatencyMs.getOrDefault(service, DEFAULT_LATENCY_MS);
-	}
-
 	/**
 	 * Withdraws one retry from the budget of a service.
 	 * @param service name of the service
 	 * @return whether the retry is allowed
 	 */
 	boolean tryRetry(String service) {
-		boolean allowed = retryBudget(service).tryWithdraw(this.view.limitDivisor(), System.nanoTime());
+		boolean allowed = this.traffic.tryRetry(service, System.nanoTime());
 		if (allowed) {
 			this.metrics.retryStarted();
 		}
@@ -436,29 +368,17 @@
 		return new GatewayRequest(this, caller, PlatformHeaders.decodeRequest(head), head.headers(), body);
 	}
 
-	private FleetRetryBudget retryBudget(String service) {
-		FleetSettings.Bounds bounds = this.settings.bounds();
-		return this.budgets.computeIfAbsent(service,
-				(name) -> new FleetRetryBudget(bounds.retryRatio() * RETRY_BUDGET_RATIO,
-						bounds.retryMinimum() * RETRY_BUDGET_RATIO, bounds.retryWindowMs()));
+	TargetSelection selection() {
+		return this.selection;
 	}
 
-	void requestAdmitted(GatewayRequest request, String service) {
-		this.requests.add(request);
-		long now = System.nanoTime();
-		retryBudget(service).deposit(now);
-		this.arrivalRates.computeIfAbsent(service, (name) -> new ArrivalRate()).count(now);
+	ServiceTraffic traffic() {
+		return this.traffic;
 	}
 
-	/**
-	 * Estimates the request rate of all entries for a service.
-	 * @param service name of the service
-	 * @param nowNanos monotonic time
-	 * @return requests per second, 0 as long as the number of entries is unknown
-	 */
-	double requestsPerSecond(String service, long nowNanos) {
-		ArrivalRate rate = this.arrivalRates.get(service);
-		return (rate != null && this.view.entriesComplete()) ? rate.perSecond(nowNanos) * this.view.limitDivisor() : 0;
+	void requestAdmitted(GatewayRequest request, String service) {
+		this.requests.add(request);
+		this.traffic.recordArrival(service, System.nanoTime());
 	}
 
 	void requestCompleted(GatewayRequest request, String outcome, long durationMs) {
@@ -466,84 +386,6 @@
 		this.metrics.requestCompleted(outcome, durationMs);
 	}
 
-	/**
-	 * Chooses a target for a request.
-	 * @param service service of the request
-	 * @param model requested model, empty for none
-	 * @param allowedRegions regions that may serve the request, empty for all
-	 * @param tried identities of targets to which it was sent before
-	 * @param work cost and time limits of the request
-	 * @param trial which targets are preferred because the request may crash its target
-	 * @param content hash of the content of the request
-	 * @return the target, or the reason why there is none
-	 */
-	PlacementResult chooseTarget(ServiceDefinition service, String model, Set<String> allowedRegions, Set<String> tried,
-			RequestEstimate work, TrialPlacement trial, long content) {
-		long now = System.nanoTime();
-		FleetSettings.Bounds bounds = this.settings.bounds();
-		int maxColdSenders = ColdSenders.maxSenders(service.coldRatePerSecond(), bounds.coldOvershoot(),
-				bounds.coldSlack());
-		List<Candidate> candidates = new ArrayList<>();
-		for (TargetRecord target : this.view.targets(service.name())) {
-			String region = this.view.region(target.domain());
-			if (target.leaving() || tried.contains(target.id()) || this.view.domainsOut().contains(target.domain())
-					|| (!allowedRegions.isEmpty() && !allowedRegions.contains(region))) {
-				continue;
-			}
-			PooledTarget pooledTarget = this.targetPool.pooledTarget(target);
-			if (service.modelLayout() != null && !model.isEmpty()) {
-				Optional<HeldVersion> holding = target.holding(model);
-				if (holding.isEmpty() || !holding.get().isComplete(service.modelLayout().layers())
-						|| Math.max(holding.get().version(), pooledTarget.load().version()) < requiredVersion(model,
-								now + (long) (pooledTarget.load().lagMs(now) * NANOS_PER_MS))) {
-					continue;
-				}
-			}
-			boolean cold = service.coldRatePerSecond() > 0 && this.view.coldLeftMs(target, now) > 0;
-			if (cold && this.view.entriesComplete() && !ColdSenders.isSender(target.id(), this.settings.instance(),
-					this.view.entryInstances(), maxColdSenders)) {
-				continue;
-			}
-			candidates.add(new Candidate(target, pooledTarget.load(), cold,
-					target.domain().equals(this.settings.failureDomain()), region.equals(this.settings.region())));
-		}
-		// While the list of entries is incomplete, any of them may send to a cold target.
-		int senders = (this.view.entriesComplete()) ? Math.min(maxColdSenders, this.view.limitDivisor())
-				: this.view.limitDivisor();
-		List<Candidate> preferred = trial.preferred(candidates, content, now);
-		if (!preferred.isEmpty()) {
-			PlacementResult result = this.placement.choose(preferred, work, service.coldRatePerSecond(), senders, now);
-			if (result instanceof PlacementResult.TargetChosen) {
-				return result;
-			}
-		}
-		return this.placement.choose(candidates, work, service.coldRatePerSecond(), senders, now);
-	}
-
-	/**
-	 * Tells whether a target runs a version that is no longer allowed, so that requests
-	 * must not start there any more.
-	 * @param attempt attempt at the target
-	 * @param model requested model, empty for none
-	 * @param now monotonic time
-	 * @return whether the version is too old
-	 */
-	boolean runsOutdatedVersion(TargetAttempt attempt, String model, long now) {
-		if (model.isEmpty()) {
-			return false;
-		}
-		long listedVersion = this.view.target(attempt.target().id())
-			.flatMap((target) -> target.holding(model))
-			.map(HeldVersion::version)
-			.orElse(0L);
-		return Math.max(listedVersion, attempt.load().version()) < requiredVersion(model, now);
-	}
-
-	private long requiredVersion(String model, long now) {
-		return this.view.requiredVersion(model, now,
-				(this.settings.bounds().versionMs() - VERSION_MARGIN_MS) * NANOS_PER_MS);
-	}
-
 	void send(TargetAttempt attempt, CallerRequestHead head, HttpHeaders callerHeaders, byte[] body, String workspace,
 			int urgency, long remainingMs, long resumeAfter) {
 		TargetRequestHead targetHead = new TargetRequestHead(remainingMs, attempt.target().id(), workspace,
@@ -560,14 +402,6 @@
 		this.metrics.attemptStarted();
 	}
 
-	void recordLatency(TargetAttempt attempt, double latencyMs, ServiceDefinition service) {
-		attempt.load().recordSlowness(latencyMs / Math.max(1, attempt.predictedMs()), System.nanoTime());
-		if (service.engineSpeed() == null) {
-			this.averageLatencyMs.merge(service.name(), latencyMs,
-					(average, newest) -> average * (1 - NEWEST_LATENCY_RATIO) + newest * NEWEST_LATENCY_RATIO);
-		}
-	}
-
 	void connectionOpened(GatewayConnection connection) {
 		this.connections.add(connection);
 		if (this.draining) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -11,7 +10,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import org.baobabknot.fleet.EngineSpeed;
 import org.baobabknot.fleet.RequestKind;
 import org.baobabknot.fleet.Route;
 import org.baobabknot.fleet.ServiceDefinition;
@@ -25,7 +23,6 @@
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
-import org.baobabknot.quarantine.RequestVerdict;
 import org.baobabknot.quarantine.Trial;
 import org.jspecify.annotations.Nullable;
 
@@ -41,22 +38,6 @@
 	/** Remaining time below which no attempt is started. */
 	private static final long MIN_ATTEMPT_MS = 20;
 
-	/** Tolerated silence before the first byte, as a multiple of the objective. */
-	private static final double FIRST_BYTE_SILENCE_RATIO = 2.5;
-
-	/** Tolerated silence within a stream, as a multiple of the allowed pause. */
-	private static final double STREAM_SILENCE_RATIO = 2.5;
-
-	/** Lower bound of the tolerated silence. */
-	private static final long MIN_SILENCE_MS = 500;
-
-	/**
-	 * Silence of one stream after which its attempt is abandoned although the target
-	 * sends other responses: longer than a batch may delay a stream, and shorter than
-	 * callers wait.
-	 */
-	private static final long STALLED_STREAM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
-
 	/**
 	 * Attempts that cost no target any work, such as addresses that belong to another
 	 * target.
@@ -66,21 +47,9 @@
 	/** Targets whose crash one request finds out before it is refused. */
 	private static final int MAX_REFUSED_CONNECTIONS = 16;
 
-	/** Largest event of a stream; typical events have less than 1 kB. */
-	private static final int MAX_EVENT_BYTES = 128 << 10;
-
 	/** Time in which a suspected request is served or crashes its target. */
 	private static final double SUSPICION_MS = 250;
 
-	/**
-	 * Time from the first event of a suspected request after which the next one with the
-	 * same traits may run, although the response is not whole.
-	 */
-	private static final long TRIAL_ANSWER_MS = 300;
-
-	/** Objective for the first byte on routes that define none. */
-	private static final long DEFAULT_OBJECTIVE_MS = 1_000;
-
 	private final Gateway gateway;
 
 	private final GatewayConnection connection;
@@ -97,12 +66,9 @@
 
 	private final Set<String> triedTargets = new HashSet<>();
 
-	private final RequestTraits requestTraits;
+	private final RequestScreening screening;
 
-	/** All of its traits. */
-	private final List<Long> traits;
-
-	private @Nullable Trial trial;
+	private final CallerStream stream;
 
 	private RequestAdmission.@Nullable Admitted admission;
 
@@ -116,16 +82,10 @@
 
 	private boolean mayHaveRun;
 
-	private boolean streaming;
-
 	private boolean done;
 
 	private @Nullable TargetAttempt currentAttempt;
 
-	private @Nullable TargetAttempt streamStartedBy;
-
-	private @Nullable StreamEventParser streamEvents;
-
 	GatewayRequest(Gateway gateway, GatewayConnection connection, CallerRequestHead head, HttpHeaders headers,
 			byte[] body) {
 		this.gateway = gateway;
@@ -133,9 +93,10 @@
 		this.head = head;
 		this.headers = headers;
 		this.body = body;
-		this.requestTraits = RequestTraits.of(head, body);
-		this.traits = this.requestTraits.all();
-		this.log = new RequestLog(gateway, head, this.requestTraits);
+		RequestTraits traits = RequestTraits.of(head, body);
+		this.screening = new RequestScreening(gateway.requestGuard(), gateway.loop(), traits);
+		this.stream = new CallerStream(connection, head.lastEventId());
+		this.log = new RequestLog(gateway, head, traits);
 	}
 
 	/**
@@ -158,7 +119,7 @@
 			return;
 		}
 		this.gateway.requestAdmitted(this, admitted.service().name());
-		this.gateway.requestGuard().admit(this.traits, new GuardOutcome());
+		this.screening.admit(new GuardOutcome());
 	}
 
 	/**
@@ -169,7 +130,7 @@
 	 */
 	boolean awaitsResponseWith(Collection<Long> candidates) {
 		TargetAttempt attempt = this.currentAttempt;
-		return attempt != null && !attempt.responseStarted() && candidates.stream().anyMatch(this.traits::contains);
+		return attempt != null && !attempt.responseStarted() && this.screening.hasAny(candidates);
 	}
 
 	/**
@@ -177,8 +138,7 @@
 	 * of its target is cancelled, which can keep the target from crashing.
 	 */
 	void rejectIfQuarantined() {
-		if (!this.done && !this.streaming
-				&& this.gateway.requestGuard().verdict(this.traits) == RequestVerdict.QUARANTINED) {
+		if (!this.done && !this.stream.started() && this.screening.isQuarantined()) {
 			rejectQuarantined();
 		}
 	}
@@ -188,7 +148,7 @@
 		if (attempt != null) {
 			attempt.cancel("the request is quarantined");
 		}
-		if (this.streaming) {
+		if (this.stream.started()) {
 			giveUp("the request is quarantined");
 		}
 		else {
@@ -196,20 +156,6 @@
 		}
 	}
 
-	private void releaseTrial() {
-		Trial heldTrial = this.trial;
-		if (heldTrial != null) {
-			releaseTrial(heldTrial);
-		}
-	}
-
-	private void releaseTrial(Trial heldTrial) {
-		if (this.trial == heldTrial) {
-			this.trial = null;
-			this.gateway.requestGuard().release(heldTrial);
-		}
-	}
-
 	private Route route() {
 		return Objects.requireNonNull(this.admission).route();
 	}
@@ -227,9 +173,9 @@
 			giveUp("no time is left");
 			return;
 		}
-		PlacementResult result = this.gateway.chooseTarget(service, this.head.model(), admitted.regions(),
-				this.triedTargets, work(admitted.route(), service, now, remainingMs), trialPlacement(),
-				this.requestTraits.content());
+		PlacementResult result = this.gateway.selection()
+			.choose(new TargetSelection.Query(service, this.head.model(), admitted.regions(), this.triedTargets,
+					trialPlacement(), this.screening.content()), estimate(admitted.route(), service, now, remainingMs));
 		if (result instanceof PlacementResult.TargetChosen chosen) {
 			send(chosen, remainingMs, now);
 		}
@@ -246,14 +192,14 @@
 	}
 
 	private TrialPlacement trialPlacement() {
-		if (this.trial == null) {
+		if (!this.screening.onTrial()) {
 			return TrialPlacement.NONE;
 		}
 		return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
 	}
 
 	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
-		if (this.mayHaveRun || this.streaming) {
+		if (this.mayHaveRun || this.stream.started()) {
 			giveUp("all targets are " + reason);
 		}
 		else {
@@ -261,26 +207,12 @@
 		}
 	}
 
-	private RequestEstimate work(Route route, ServiceDefinition service, long now, long remainingMs) {
-		EngineSpeed pace = service.engineSpeed();
-		double objectiveMs = objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
+	private RequestEstimate estimate(Route route, ServiceDefinition service, long now, long remainingMs) {
+		double objectiveLeftMs = SilencePolicy.objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
 		// A request that may have run, or was tried before, is not refused because the
 		// targets have no free slots, so competing requests are not counted.
 		boolean refusable = this.attempts == 0 && this.attemptsNotRun == 0 && !this.mayHaveRun;
-		double competingPerSecond = (refusable) ? this.gateway.requestsPerSecond(service.name(), now) : 0;
-		if (pace == null) {
-			double averageMs = this.gateway.averageLatencyMs(service.name());
-			return new RequestEstimate(averageMs, averageMs, objectiveMs, remainingMs, competingPerSecond);
-		}
-		double promptTokens = this.head.promptTokens();
-		double promptMs = ((promptTokens >= 0) ? promptTokens : pace.promptTokens()) / pace.promptTokensPerMs();
-		double firstMs = promptMs + pace.stepMs() * pace.stepsPerEvent();
-		return new RequestEstimate(firstMs, pace.occupancyMs(16, promptTokens, this.head.expectedOutputTokens()),
-				objectiveMs, remainingMs, competingPerSecond);
-	}
-
-	private static long objectiveMs(Route route) {
-		return (route.objectiveMs() > 0) ? route.objectiveMs() : DEFAULT_OBJECTIVE_MS;
+		return this.gateway.traffic().estimate(this.head, service, objectiveLeftMs, remainingMs, refusable, now);
 	}
 
 	private void send(PlacementResult.TargetChosen chosen, long remainingMs, long now) {
@@ -292,11 +224,9 @@
 		this.currentAttempt = attempt;
 		this.attempts++;
 		this.triedTargets.add(target.id());
-		StreamEventParser parser = this.streamEvents;
-		long resumeAfter = (parser != null && parser.eventCount() > 0) ? parser.lastEventId() : -1;
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		this.gateway.send(attempt, this.head, this.headers, this.body, admitted.workspace(), admitted.urgency(),
-				remainingMs, resumeAfter);
+				remainingMs, this.stream.resumeAfter());
 	}
 
 	/**
@@ -324,7 +254,7 @@
 				.recordResponseLoad(Math.max(attempt.target().slots() * 2, (int) attempt.load().estimatedRequests(now)),
 						now);
 		}
-		this.log.attemptFailed(attempt, reason, eventCount());
+		this.log.attemptFailed(attempt, reason, this.stream.eventCount());
 		this.attempts--;
 		this.attemptsNotRun++;
 		this.refusedConnections += (cause.costsTarget()) ? 0 : 1;
@@ -351,79 +281,34 @@
 		this.currentAttempt = null;
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
-		this.log.attemptFailed(attempt, failure.toString(), eventCount());
+		this.log.attemptFailed(attempt, failure.toString(), this.stream.eventCount());
 		String reason = failure.toString();
-		if (failure.kind() != HttpFailure.Kind.CONNECTION_LOST) {
-			releaseTrial();
-			retryOrGiveUp(reason);
-			return;
+		if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST) {
+			this.screening.connectionLost(attempt, () -> retryOrGiveUp(reason), () -> giveUpIfOpen(reason));
 		}
-		// One crash in the middle of a response does not make a request suspected, so the
-		// stream goes on before the crash is certain.
-		boolean continues = attempt.written() && !this.gateway.requestGuard().hasEvidence(this.traits);
-		attempt.pooledTarget()
-			.crashProbe()
-			.hasCrashed()
-			.thenAccept(
-					(crashed) -> crashChecked(attempt, crashed, (continues) ? Optional.empty() : Optional.of(reason)));
-		if (continues) {
+		else {
+			this.screening.release();
 			retryOrGiveUp(reason);
 		}
 	}
 
-	private void crashChecked(TargetAttempt attempt, boolean crashed, Optional<String> reason) {
-		RequestGuard guard = this.gateway.requestGuard();
-		if (crashed) {
-			guard.recordCrash(attempt.target(), this.traits, attempt.written());
-		}
-		if (reason.isEmpty()) {
-			return;
-		}
-		releaseTrial();
-		if (this.done) {
-			return;
-		}
-		if (guard.suspectedTraits(this.requestTraits.sharedParts()).isEmpty()) {
-			retryOrGiveUp(reason.get());
-		}
-		else {
-			// Another entry may know a part to be harmless.
-			this.gateway.loop()
-				.schedule(() -> partsSuspected(reason.get()), RequestGuard.ROUND_TRIP_MS, TimeUnit.MILLISECONDS);
+	private void giveUpIfOpen(String reason) {
+		if (!this.done) {
+			giveUp(reason);
 		}
 	}
 
-	// A part that several requests have and that was in a crash is more likely to be the
-	// cause than the rest of a request, so only the caller sends it again.
-	private void partsSuspected(String reason) {
+	private void retryOrGiveUp(String reason) {
 		if (this.done) {
 			return;
 		}
-		if (this.gateway.requestGuard().suspectedTraits(this.requestTraits.sharedParts()).isEmpty()
-				|| !this.gateway.requestGuard().verdict(this.traits).mayRun()) {
-			retryOrGiveUp(reason);
-		}
-		else {
-			giveUp(reason);
-		}
-	}
-
-	private int eventCount() {
-		StreamEventParser parser = this.streamEvents;
-		return (parser != null) ? parser.eventCount() : 0;
-	}
-
-	private void retryOrGiveUp(String reason) {
+		this.stream.dropPending();
 		Route route = route();
-		StreamEventParser parser = this.streamEvents;
-		if (parser != null) {
-			parser.takePending().release();
-		}
-		if (!this.gateway.requestGuard().verdict(this.traits).mayRun()) {
+		if (this.screening.isQuarantined()) {
 			rejectQuarantined();
 		}
 		else if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
-			this.gateway.requestGuard().admit(this.traits, new GuardOutcome());
+			this.screening.admit(new GuardOutcome());
 		}
 		else {
 			giveUp(reason);
@@ -438,8 +323,8 @@
 		long now = System.nanoTime();
 		// A caller that has waited this long disconnects before a first event could
 		// arrive.
-		boolean callerLikelyGone = !this.streaming
-				&& now - this.arrivedNanos > (route().callerTimeoutMs() - objectiveMs(route())) * NANOS_PER_MS;
+		boolean callerLikelyGone = !this.stream.started() && now
+				- this.arrivedNanos > (route().callerTimeoutMs() - SilencePolicy.objectiveMs(route())) * NANOS_PER_MS;
 		return !callerLikelyGone && now + MIN_ATTEMPT_MS * NANOS_PER_MS < this.deadlineNanos;
 	}
 
@@ -460,8 +345,8 @@
 		if (serverError) {
 			this.mayHaveRun = true;
 			attempt.load().recordFailure(now);
-			this.log.attemptFailed(attempt, "status " + response.status(), eventCount());
-			if (this.streaming) {
+			this.log.attemptFailed(attempt, "status " + response.status(), this.stream.eventCount());
+			if (this.stream.started()) {
 				this.currentAttempt = null;
 				retryOrGiveUp("status " + response.status());
 				return;
@@ -475,11 +360,11 @@
 		else {
 			attempt.load().recordSuccess(now);
 			if (response.isSuccess()) {
-				this.gateway.requestGuard().recordServed(this.traits);
+				this.screening.served();
 			}
-			this.gateway.recordLatency(attempt, (now - attempt.sentNanos()) / (double) NANOS_PER_MS, service());
+			recordLatency(attempt);
 		}
-		if (this.streaming) {
+		if (this.stream.started()) {
 			giveUp("status " + response.status() + " instead of the rest of the stream");
 			return;
 		}
@@ -498,25 +383,14 @@
 		if (attempt != this.currentAttempt || this.done) {
 			return false;
 		}
-		StreamEventParser parser = this.streamEvents;
-		if (parser == null) {
-			parser = new StreamEventParser(this.head.lastEventId());
-			this.streamEvents = parser;
-		}
-		ByteBuf completeEvents = parser.add(data);
+		ByteBuf completeEvents = this.stream.add(attempt, data);
 		if (!completeEvents.isReadable()) {
 			completeEvents.release();
-			if (parser.pendingBytes() > MAX_EVENT_BYTES) {
-				attempt.abortOversized("an event of more than " + MAX_EVENT_BYTES + " bytes");
-			}
 			return false;
 		}
 		if (!attempt.written()) {
 			attempt.markWritten();
-			Trial answeredTrial = this.trial;
-			if (answeredTrial != null) {
-				this.gateway.loop().schedule(() -> releaseTrial(answeredTrial), TRIAL_ANSWER_MS, TimeUnit.MILLISECONDS);
-			}
+			this.screening.answerStarted();
 		}
 		startStream(attempt, responseHead);
 		this.connection.sendStreamData(completeEvents);
@@ -524,15 +398,17 @@
 	}
 
 	private void startStream(TargetAttempt attempt, ResponseHead responseHead) {
-		if (this.streaming) {
-			return;
+		if (!this.stream.started()) {
+			recordLatency(attempt);
+			this.stream.start(attempt, responseHead);
 		}
-		this.streaming = true;
-		this.streamStartedBy = attempt;
+	}
+
+	private void recordLatency(TargetAttempt attempt) {
 		long now = System.nanoTime();
-		this.gateway.recordLatency(attempt, (now - attempt.sentNanos()) / (double) NANOS_PER_MS, service());
-		this.connection.startStream(PlatformHeaders.decodeResponse(responseHead).status(),
-				PlatformHeaders.callerHeaders(responseHead));
+		double latencyMs = (now - attempt.sentNanos()) / (double) NANOS_PER_MS;
+		attempt.load().recordSlowness(latencyMs / Math.max(1, attempt.predictedMs()), now);
+		this.gateway.traffic().recordLatency(service(), latencyMs);
 	}
 
 	/**
@@ -544,8 +420,7 @@
 		if (attempt != this.currentAttempt || this.done) {
 			return;
 		}
-		StreamEventParser parser = this.streamEvents;
-		if (parser != null && parser.pendingBytes() > 0) {
+		if (this.stream.endsInsideEvent()) {
 			attemptFailed(attempt, HttpFailure.afterSending("read answer", attempt.target().address(),
 					"the stream ended inside an event"));
 			return;
@@ -553,10 +428,9 @@
 		startStream(attempt, responseHead);
 		attempt.load().recordSuccess(System.nanoTime());
 		// A target that only goes on after the last event has not shown that it survives
-		// the
-		// events before.
-		if (this.streamStartedBy == attempt && this.head.lastEventId() < 0) {
-			this.gateway.requestGuard().recordServed(this.traits);
+		// the ones before.
+		if (this.stream.startedBy(attempt) && this.head.lastEventId() < 0) {
+			this.screening.served();
 		}
 		finish("whole", attempt, "");
 		this.connection.endStream();
@@ -579,36 +453,25 @@
 		if (attempt == null || !route.repeatable() || this.attempts >= route.maxAttempts()) {
 			return;
 		}
-		if (!this.streaming && !attempt.responseStarted()
-				&& this.gateway.runsOutdatedVersion(attempt, this.head.model(), now)) {
+		if (!this.stream.started() && !attempt.responseStarted()
+				&& this.gateway.selection().runsOutdatedVersion(attempt, this.head.model(), now)) {
 			attempt.cancel("its version is no longer allowed");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
 					"the target runs a version that is no longer allowed"));
 			return;
 		}
-		double allowedMs = Math.max(MIN_SILENCE_MS,
-				(this.streaming) ? STREAM_SILENCE_RATIO * Math.max(1, route.pauseObjectiveMs())
-						: FIRST_BYTE_SILENCE_RATIO * objectiveMs(route));
-		long silentMs = attempt.targetSilentNanos(now) / NANOS_PER_MS;
-		boolean targetSilent = silentMs > allowedMs;
+		SilencePolicy silence = new SilencePolicy(attempt, route, this.stream.started());
+		boolean targetSilent = silence.isTargetSilent(now);
 		if (targetSilent) {
 			attempt.load().avoid(now);
 		}
-		if (targetSilent || (attempt.responseSilentNanos(now) / NANOS_PER_MS > allowedMs && stalled(attempt, now))) {
+		if (targetSilent || silence.isResponseStalled(now)) {
 			attempt.cancel("silent");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
 					"nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms"));
 		}
 	}
 
-	// Whether the target responds to other requests but not to this one, although this
-	// one isn't queued there.
-	private boolean stalled(TargetAttempt attempt, long now) {
-		return (this.streaming)
-				? attempt.responseSilentNanos(now) > attempt.targetSilentNanos(now) + STALLED_STREAM_NANOS
-				: attempt.load().estimatedRequests(now) <= attempt.target().slots();
-	}
-
 	/**
 	 * Called when the caller has closed its connection.
 	 */
@@ -640,7 +503,7 @@
 		if (attempt != null) {
 			attempt.cancel(reason);
 		}
-		if (this.streaming) {
+		if (this.stream.started()) {
 			finish("stream-broken", attempt, reason);
 			this.connection.abort();
 		}
@@ -668,12 +531,12 @@
 	private void finish(String outcome, @Nullable TargetAttempt lastAttempt, String detail) {
 		this.done = true;
 		this.currentAttempt = null;
-		releaseTrial();
+		this.screening.release();
 		long durationMs = (System.nanoTime() - this.arrivedNanos) / NANOS_PER_MS;
 		RequestAdmission.Admitted admitted = this.admission;
 		this.gateway.requestCompleted(this, outcome, durationMs);
 		this.log.requestEnded(new RequestLog.Summary(outcome, detail, (admitted != null) ? admitted.route().name() : "",
-				this.attempts + this.attemptsNotRun, eventCount(), durationMs,
+				this.attempts + this.attemptsNotRun, this.stream.eventCount(), durationMs,
 				(admitted != null) ? admitted.urgency() : -1), this.head, lastAttempt);
 	}
 
@@ -684,9 +547,8 @@
 
 		@Override
 		public void admitted(Optional<Trial> admittedTrial) {
-			GatewayRequest.this.trial = admittedTrial.orElse(null);
 			if (GatewayRequest.this.done) {
-				releaseTrial();
+				GatewayRequest.this.screening.release();
 			}
 			else {
 				startAttempt();
