Resume cut streams away from where the suspected request is tried

Cause: a stream that a crash cut goes on at another target at once; 30 ms later another gateway sends the suspected request to the same target as its one trial, which ends that target too. The stream is cut twice and has no attempt left, so its caller gets a broken one. Ruled out by the lines: a quarantine of the stream (its content has one crash in the middle of an answer) and the retry budget (attempts of the route are used up).

Change: where a trial is sent follows from its content alone, so a request that was cut is sent elsewhere (TrialPlacement.APART), unless that leaves less than half of the targets. The contents are those of the crash evidence of the last 500 ms; a cut stream waits 15 ms, the time in which the other entries report it.

--- a/core/src/main/java/org/baobabknot/quarantine/Quarantine.java
+++ b/core/src/main/java/org/baobabknot/quarantine/Quarantine.java
@@ -38,6 +38,9 @@
 	/** Suspected traits of one request; it has a handful of them. */
 	private static final int MAX_TRAITS_PER_REQUEST = 32;
 
+	/** Time after a crash in which requests that it cut are sent again. */
+	private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
 	/** Oldest crash that other processes report. */
 	private static final long MAX_AGE_NANOS = TimeUnit.HOURS.toNanos(24);
 
@@ -270,6 +273,20 @@
 		}).toList();
 	}
 
+	/**
+	 * Returns the traits of requests that may be sent again now because a crash cut them
+	 * before their response, and that may crash the next target.
+	 * @param nowNanos monotonic time
+	 * @return the traits
+	 */
+	public Set<Long> repeatedTraits(long nowNanos) {
+		Set<Long> repeated = new HashSet<>();
+		this.suspects.stream()
+			.filter((suspect) -> !suspect.answering() && nowNanos - suspect.nanos() < REPEAT_NANOS)
+			.forEach((suspect) -> repeated.addAll(suspect.traits()));
+		return repeated;
+	}
+
 	/**
 	 * Returns whether a trait was in a crash.
 	 * @param traits the traits
--- a/core/src/test/java/org/baobabknot/placement/PlacementTests.java
+++ b/core/src/test/java/org/baobabknot/placement/PlacementTests.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.baobabknot.fleet.TargetRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -41,6 +44,32 @@
 				: result.getClass().getSimpleName();
 	}
 
+	@Nested
+	class Trials {
+
+		private final List<Candidate> candidates = IntStream.range(0, 10)
+			.mapToObj((index) -> candidate("t" + index, false, true))
+			.toList();
+
+		/** A stream went on where the request that had cut it was tried next. */
+		@ParameterizedTest
+		@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+		void aCutRequestIsNotSentWhereASuspectedOneIsTried(long content) {
+			List<Candidate> tried = TrialPlacement.SPREAD.preferred(this.candidates, List.of(content), 0);
+			List<Candidate> others = TrialPlacement.APART.preferred(this.candidates, List.of(content, 9L), 0);
+			assertThat(tried.size(), is(1));
+			assertThat(others.contains(tried.get(0)), is(false));
+			assertThat(others.size(), is(greaterThan(7)));
+		}
+
+		@Test
+		void suspectsDoNotTakeAwayMostTargets() {
+			List<Long> contents = LongStream.range(0, 100).boxed().toList();
+			assertThat(TrialPlacement.APART.preferred(this.candidates, contents, 0), is(List.of()));
+		}
+
+	}
+
 	@Nested
 	class Choice {
 
--- a/core/src/test/java/org/baobabknot/quarantine/QuarantineTests.java
+++ b/core/src/test/java/org/baobabknot/quarantine/QuarantineTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
@@ -51,6 +52,16 @@
 			assertThat(verdict(DEADLY, SECOND), is(RequestVerdict.QUARANTINED));
 		}
 
+		/** They may crash the next target, so that cut streams go elsewhere. */
+		@Test
+		void requestsCutBeforeTheirResponseAreRepeatedForAShortTime() {
+			Quarantine quarantine = QuarantineTests.this.quarantine;
+			quarantine.recordCrash(11, List.of(DEADLY), false, 0);
+			quarantine.recordCrash(11, List.of(SHARED), true, 0);
+			assertThat(quarantine.repeatedTraits(100 * MILLISECOND), is(Set.of(DEADLY)));
+			assertThat(quarantine.repeatedTraits(SECOND), is(Set.of()));
+		}
+
 		@Test
 		void severalRequestsAtOneCrashedTargetAreOneCrash() {
 			Quarantine quarantine = QuarantineTests.this.quarantine;
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -175,7 +175,8 @@
 		}
 		PlacementResult result = this.gateway.selection()
 			.choose(new TargetSelection.Query(service, this.head.model(), admitted.regions(), this.triedTargets,
-					trialPlacement(), this.screening.content()), estimate(admitted.route(), service, now, remainingMs));
+					trialPlacement(), this.screening.suspectedContents()),
+					estimate(admitted.route(), service, now, remainingMs));
 		if (result instanceof PlacementResult.TargetChosen chosen) {
 			send(chosen, remainingMs, now);
 		}
@@ -192,10 +193,10 @@
 	}
 
 	private TrialPlacement trialPlacement() {
-		if (!this.screening.onTrial()) {
-			return TrialPlacement.NONE;
+		if (this.screening.onTrial()) {
+			return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
 		}
-		return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
+		return (this.mayHaveRun) ? TrialPlacement.APART : TrialPlacement.NONE;
 	}
 
 	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
@@ -109,6 +109,15 @@
 		return this.quarantine.hasEvidence(traits);
 	}
 
+	/**
+	 * Returns the traits of requests that gateways may send again now and that may crash
+	 * the next target.
+	 * @return the traits
+	 */
+	Set<Long> repeatedTraits() {
+		return this.quarantine.repeatedTraits(now());
+	}
+
 	/**
 	 * Returns the traits of a request that were in a crash.
 	 * @param traits traits of the request
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
@@ -40,11 +40,12 @@
 	}
 
 	/**
-	 * Returns a hash of what the target of the request receives.
-	 * @return the hash
+	 * Returns hashes of what targets receive of suspected requests.
+	 * @return the content of this request if it runs as a trial, else of those that are
+	 * sent again now
 	 */
-	long content() {
-		return this.requestTraits.content();
+	Collection<Long> suspectedContents() {
+		return (onTrial()) ? List.of(this.requestTraits.content()) : this.guard.repeatedTraits();
 	}
 
 	/**
@@ -135,7 +136,8 @@
 	 */
 	void connectionLost(TargetAttempt attempt, Runnable retry, Runnable giveUp) {
 		// One crash in the middle of a response does not make a request suspected, so the
-		// stream goes on before the crash is certain.
+		// stream goes on before the crash is certain, but not where what may have caused
+		// it is sent, which the other entries report in this time.
 		boolean continues = attempt.written() && !this.guard.hasEvidence(this.traits);
 		attempt.pooledTarget().crashProbe().hasCrashed().thenAccept((crashed) -> {
 			if (crashed) {
@@ -146,7 +148,7 @@
 			}
 		});
 		if (continues) {
-			retry.run();
+			this.loop.schedule(retry, RequestGuard.ROUND_TRIP_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
@@ -1,6 +1,7 @@
 package org.baobabknot.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -64,7 +65,7 @@
 		// While the list of entries is incomplete, any of them may send to a cold target.
 		int senders = (this.view.entriesComplete()) ? Math.min(maxColdSenders, this.view.limitDivisor())
 				: this.view.limitDivisor();
-		List<Candidate> preferred = query.trial().preferred(candidates, query.content(), now);
+		List<Candidate> preferred = query.trial().preferred(candidates, query.suspectedContents(), now);
 		if (!preferred.isEmpty()) {
 			PlacementResult result = this.placement.choose(preferred, work, service.coldRatePerSecond(), senders, now);
 			if (result instanceof PlacementResult.TargetChosen) {
@@ -140,11 +141,11 @@
 	 * @param model requested model, empty for none
 	 * @param allowedRegions regions that may serve the request, empty for all
 	 * @param tried identities of targets to which it was sent before
-	 * @param trial which targets are preferred because the request may crash its target
-	 * @param content hash of the content of the request
+	 * @param trial which targets are preferred because of suspected requests
+	 * @param suspectedContents hashes of what these contain
 	 */
 	record Query(ServiceDefinition service, String model, Set<String> allowedRegions, Set<String> tried,
-			TrialPlacement trial, long content) {
+			TrialPlacement trial, Collection<Long> suspectedContents) {
 	}
 
 }
