Reword comments of the guard that a newcomer stumbles over

Two comments were wrapped in the middle of a sentence, and the accessor for contents of suspected requests did not say that it also returns their other traits.

--- a/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestGuard.java
@@ -323,9 +323,8 @@
 		exchangeRegularly();
 	}
 
-	// Evidence that waited during the stall is read as if the crashes were of this
-	// moment,
-	// and so of one cause. The responses state their age.
+	// Evidence that waited during the stall is read as if all crashes were of this
+	// moment, and so of one cause. The responses state their age.
 	private void pullAfterStall() {
 		List<EntryRecord> others = new ArrayList<>(this.peers.others());
 		PartReport pull = PartReport.newBuilder().setPull(true).build();
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
@@ -41,8 +41,8 @@
 
 	/**
 	 * Returns hashes of what targets receive of suspected requests.
-	 * @return the content of this request if it runs as a trial, else of those that are
-	 * sent again now
+	 * @return the content of this request if it runs as a trial, else the traits of those
+	 * that are sent again now, their contents among them
 	 */
 	Collection<Long> suspectedContents() {
 		return (onTrial()) ? List.of(this.requestTraits.content()) : this.guard.repeatedTraits();
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -216,9 +216,8 @@
 		}
 	}
 
-	// The end of its connection is the only mark of such a response. A crash of the
-	// target
-	// ends the connection as well.
+	// The end of its connection is the only mark of such a response, and a crash of the
+	// target ends the connection as well.
 	private void closeDelimitedEnded(TargetResponseHead completedResponse, ResponseHead completedHead, boolean runs) {
 		if (!finish()) {
 			return;
