Say plainly that a confirmation may be delayed

A comment of SourceTiming was figurative; comments are read by people who don't know the field's terms from us. Comment only, no behaviour is changed.

--- a/core/src/main/java/org/baobabknot/fleet/SourceTiming.java
+++ b/core/src/main/java/org/baobabknot/fleet/SourceTiming.java
@@ -25,7 +25,7 @@
 
 	private static final double MARGIN_RATIO = 0.125;
 
-	/** Part of the time for changes by which a confirmation may be late on its way. */
+	/** Part of the time for changes by which a confirmation may be delayed. */
 	private static final double DELAY_RATIO = 0.2;
 
 	private static final double PATIENCE_RATIO = 0.4;
