--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gateway/LateAnswerTests.java
@@ -0,0 +1,94 @@
+package org.baobabknot.gateway;
+
+import org.baobabknot.emulator.EmulatedCaller;
+import org.baobabknot.emulator.EmulatedEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/**
+ * Tests of targets that respond a second time when the next request on the connection has
+ * arrived.
+ */
+class LateAnswerTests {
+
+	private static final int REQUESTS = 6;
+
+	private final GatewayFixture fixture = new GatewayFixture();
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	private EmulatedEngine start(String service, String model) throws Exception {
+		EmulatedEngine engine = this.fixture.addEngine("t1", service, "a", model);
+		engine.lateDuplicates = true;
+		this.fixture.start();
+		return engine;
+	}
+
+	private EmulatedCaller.Response callWithoutId(String method) throws Exception {
+		try (EmulatedCaller caller = this.fixture.caller()) {
+			caller.send(EmulatedCaller.request(method, "/reads/x", "unused", "", "body")
+				.replaceFirst("Request-Id: .*\r\n", ""));
+			return caller.readResponse();
+		}
+	}
+
+	/**
+	 * A caller that sends no id got the answer to the request of another caller.
+	 */
+	@Nested
+	class CallersWithoutAnId {
+
+		@Test
+		void getNoAnswerToAnotherRequest() throws Exception {
+			start("plain", "");
+			for (int number = 0; number < REQUESTS; number++) {
+				String id = "secret" + number;
+				assertThat(LateAnswerTests.this.fixture.call("GET", "/reads/x", id, "").body(),
+						equalTo("answer to " + id));
+				EmulatedCaller.Response response = callWithoutId("POST");
+				assertThat(response.body(), not(containsString("secret")));
+				assertThat(response.status(), not(200));
+			}
+		}
+
+	}
+
+	/**
+	 * A refusal of an earlier request was taken for that of a request that ran, which was
+	 * then reported as not run, or run again.
+	 */
+	@Nested
+	class RefusalsWithoutAnId {
+
+		@Test
+		void areNotTakenForThatOfTheNextRequest() throws Exception {
+			EmulatedEngine engine = start("plain", "");
+			engine.refusalsCarryIds = false;
+			for (int number = 0; number < REQUESTS; number++) {
+				engine.refusesRequests = true;
+				LateAnswerTests.this.fixture.call("POST", "/orders/x", "refused" + number, "");
+				engine.refusesRequests = false;
+				String id = "order" + number;
+				int status = LateAnswerTests.this.fixture.call("POST", "/orders/x", id, "").status();
+				long runs = engine.events()
+					.stream()
+					.filter((event) -> event.kind() == EmulatedEngine.EventKind.STARTED && event.requestId().equals(id))
+					.count();
+				assertThat(id + " ran " + runs + " times and got " + status, runs == 0 || runs == 1 && status != 503,
+						is(true));
+			}
+		}
+
+	}
+
+}
