Write the last lines of the log before the process ends

Operators could lose the last lines of a stopped process: a thread writes them, and System.exit doesn't wait for it. The end of the process now waits for lines that are queued, 100 ms at most if the output is full or closed. Lines of the importance PROCESS_END are neither limited a second nor dropped, since their number is that of the open requests.

DecisionLogTests: 2,000 lines of the end are all there after the flush; a blocked output delays it by its time-out (both tests are new with the method).

--- a/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
@@ -32,6 +32,9 @@
 
 	private static final int EXIT_USAGE = 2;
 
+	/** Longest time for which a full or closed output delays the end of the process. */
+	private static final long LOG_FLUSH_MS = 100;
+
 	private FleetProcess() {
 	}
 
@@ -106,7 +109,8 @@
 		try {
 			CompletableFuture<Void> ended = startRole(settings, file, group, log);
 			ended.join();
-			log.line(DecisionLog.Importance.STATE, "stopped").write();
+			log.line(DecisionLog.Importance.PROCESS_END, "stopped").write();
+			log.flush(LOG_FLUSH_MS);
 			return 0;
 		}
 		catch (CompletionException ex) {
--- a/daemon/src/main/java/org/baobabknot/observe/DecisionLog.java
+++ b/daemon/src/main/java/org/baobabknot/observe/DecisionLog.java
@@ -6,8 +6,9 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -17,7 +18,8 @@
  * Writes one JSON line for each decision. The number of lines in each second is limited
  * separately for each importance, so that successes never suppress failures. A background
  * thread writes the lines; if its queue is full, lines are dropped and counted, so that
- * callers never block.
+ * callers never block. Only the end of the process waits for its last lines, for a
+ * limited time.
  */
 public final class DecisionLog {
 
@@ -27,7 +29,15 @@
 
 	private final String instance;
 
-	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
+	private final BlockingQueue<String> queue = new LinkedBlockingQueue<>();
+
+	private final Object writtenMonitor = new Object();
+
+	/** Lines that were queued, including those that have been written. */
+	private final AtomicLong queuedLines = new AtomicLong();
+
+	/** Lines that the output has accepted, guarded by {@link #writtenMonitor}. */
+	private long writtenLines;
 
 	private final AtomicLong droppedLines = new AtomicLong();
 
@@ -75,6 +85,32 @@
 		return this.droppedLines.get();
 	}
 
+	/**
+	 * Waits until the output has accepted all lines that were queued before.
+	 * @param timeoutMs longest time to wait, in ms
+	 * @return whether it has; false for an output that is blocked or has failed
+	 */
+	public boolean flush(long timeoutMs) {
+		long expected = this.queuedLines.get();
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+		synchronized (this.writtenMonitor) {
+			try {
+				while (this.writtenLines < expected) {
+					long leftNanos = deadlineNanos - System.nanoTime();
+					if (leftNanos <= 0) {
+						return false;
+					}
+					TimeUnit.NANOSECONDS.timedWait(this.writtenMonitor, leftNanos);
+				}
+				return true;
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return false;
+			}
+		}
+	}
+
 	private synchronized boolean withinLimit(Importance importance) {
 		long now = System.nanoTime();
 		if (now - this.windowStartNanos >= WINDOW_NANOS) {
@@ -86,7 +122,7 @@
 				if (count > 0) {
 					ObjectNode summary = newLine("lines-suppressed");
 					summary.put("importance", level.name()).put("lines", count);
-					enqueue(summary);
+					enqueue(summary, Importance.STATE);
 				}
 			}
 		}
@@ -106,23 +142,29 @@
 		return node;
 	}
 
-	private void enqueue(ObjectNode node) {
-		if (!this.queue.offer(node + "\n")) {
+	private void enqueue(ObjectNode node, Importance importance) {
+		if (this.queue.size() >= importance.maxQueuedLines) {
 			this.droppedLines.incrementAndGet();
+			return;
 		}
+		this.queuedLines.incrementAndGet();
+		this.queue.add(node + "\n");
 	}
 
 	private void writeLines(OutputStream output) {
 		try {
 			while (true) {
 				StringBuilder lines = new StringBuilder(this.queue.take());
+				int count = 1;
 				String next = this.queue.poll();
 				while (next != null) {
 					lines.append(next);
+					count++;
 					next = this.queue.poll();
 				}
 				output.write(lines.toString().getBytes(StandardCharsets.UTF_8));
 				output.flush();
+				recordWritten(count);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -134,22 +176,37 @@
 		}
 	}
 
+	private void recordWritten(int count) {
+		synchronized (this.writtenMonitor) {
+			this.writtenLines += count;
+			this.writtenMonitor.notifyAll();
+		}
+	}
+
 	/**
 	 * Importance of a line, each with its own limit of lines per second.
 	 */
 	public enum Importance {
 
 		/** A change of the state of the process or of its view of others. */
-		STATE(40),
+		STATE(40, MAX_QUEUED_LINES),
 		/** A request that was refused or failed, or an attempt that failed. */
-		FAILURE(40),
+		FAILURE(40, MAX_QUEUED_LINES),
 		/** A request that was served. */
-		SUCCESS(10);
+		SUCCESS(10, MAX_QUEUED_LINES),
+		/**
+		 * The end of the process, or of a request that it ends. There are as many as open
+		 * requests, and nothing else tells what became of them.
+		 */
+		PROCESS_END(Integer.MAX_VALUE, Integer.MAX_VALUE);
 
 		private final int maxLinesPerSecond;
 
-		Importance(int maxLinesPerSecond) {
+		private final int maxQueuedLines;
+
+		Importance(int maxLinesPerSecond, int maxQueuedLines) {
 			this.maxLinesPerSecond = maxLinesPerSecond;
+			this.maxQueuedLines = maxQueuedLines;
 		}
 
 	}
@@ -161,9 +218,12 @@
 
 		private final ObjectNode node;
 
+		private final Importance importance;
+
 		private final boolean enabled;
 
 		private Line(Importance importance, String event, boolean enabled) {
+			this.importance = importance;
 			this.enabled = enabled;
 			this.node = (enabled) ? newLine(event) : JsonNodeFactory.instance.objectNode();
 		}
@@ -199,7 +259,7 @@
 		 */
 		public void write() {
 			if (this.enabled) {
-				enqueue(this.node);
+				enqueue(this.node, this.importance);
 			}
 		}
 
--- a/daemon/src/test/java/org/baobabknot/observe/DecisionLogTests.java
+++ b/daemon/src/test/java/org/baobabknot/observe/DecisionLogTests.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 /**
@@ -38,6 +39,38 @@
 		assertThat((int) output.toString().lines().count(), lessThan(100));
 	}
 
+	@Test
+	void flushWaitsForAllLinesOfTheProcessEnd() {
+		ByteArrayOutputStream output = new ByteArrayOutputStream();
+		DecisionLog log = new DecisionLog("i", output);
+		for (int count = 0; count < LINES; count++) {
+			log.line(DecisionLog.Importance.PROCESS_END, "request-ended").with("n", count).write();
+		}
+		assertThat(log.flush(10_000), is(true));
+		assertThat((int) output.toString().lines().count(), is(LINES));
+	}
+
+	@Test
+	void flushOfABlockedOutputEndsInTime() {
+		CountDownLatch stuck = new CountDownLatch(1);
+		DecisionLog log = new DecisionLog("i", new OutputStream() {
+			@Override
+			public void write(int value) {
+				try {
+					stuck.await();
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}
+		});
+		log.line(DecisionLog.Importance.PROCESS_END, "stopped").write();
+		long start = System.nanoTime();
+		assertThat(log.flush(100), is(false));
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start), lessThan(5_000L));
+		stuck.countDown();
+	}
+
 	@Test
 	void aBlockedOutputDoesNotBlockCallers() throws Exception {
 		CountDownLatch stuck = new CountDownLatch(1);
