Give open requests a final answer and a line when a stop runs out of time

Callers of a gateway whose grace was over got the close of the kernel, whatever had become of their request, and the log had no line for it (seen before: stopping, stopped, nothing between). Cause: the end of the process was nobody's job; shutDown completed a future and left open connections to System.exit.

At 95% of the grace each open request now ends by what is true of it: 503 (not run) if nothing was sent to a target, 502 if it may have run, a stream that is visibly incomplete. Bodies and heads that are still arriving get 503. Each has its line, also requests that are rejected before their body is whole, which had none; caller-gone says what ended the connection. A request that waits for a connection counts as not sent, at its deadline too. The process waits for responses that linger because their request body has not ended.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -69,7 +69,10 @@
 	/** Time after SIGTERM with new connections: two missed health checks and 1 s more. */
 	private static final long BALANCER_LAG_MS = 3_500;
 
-	/** Fraction of the time until SIGKILL after which open requests are abandoned. */
+	/** Time for final answers to reach their callers before the process ends. */
+	private static final long FINAL_ANSWERS_MS = 100;
+
+	/** Fraction of the time until SIGKILL after which open requests are ended. */
 	private static final double DRAIN_TIMEOUT_RATIO = 0.95;
 
 	/** Remaining time of a caller that states none; typical is about a second. */
@@ -151,6 +154,8 @@
 
 	private boolean draining;
 
+	private boolean ending;
+
 	private @Nullable ShutdownWindow shutdownWindow;
 
 	private int sweepCount;
@@ -229,8 +234,9 @@
 
 	/**
 	 * Reports not ready, accepts requests until the load balancer has noticed, and then
-	 * drains the connections. A repeated call has no further effect.
-	 * @return completed when no request is open or the time for draining is over
+	 * drains the connections. What is open when the time for draining is over gets a
+	 * final answer. A repeated call has no further effect.
+	 * @return completed when no request is open or the final answers were sent
 	 */
 	public CompletableFuture<Void> shutDown() {
 		this.shuttingDown = true;
@@ -246,11 +252,17 @@
 				this.draining = true;
 				List.copyOf(this.connections).forEach(GatewayConnection::drain);
 			}, BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
-			this.loop.schedule(() -> this.shutdownComplete.complete(null), drainMs, TimeUnit.MILLISECONDS);
+			this.loop.schedule(this::endOpenRequests, drainMs, TimeUnit.MILLISECONDS);
 		});
 		return this.shutdownComplete;
 	}
 
+	private void endOpenRequests() {
+		this.ending = true;
+		List.copyOf(this.connections).forEach(GatewayConnection::processEnding);
+		this.loop.schedule(() -> this.shutdownComplete.complete(null), FINAL_ANSWERS_MS, TimeUnit.MILLISECONDS);
+	}
+
 	String instance() {
 		return this.settings.instance();
 	}
@@ -292,6 +304,29 @@
 		return this.shuttingDown;
 	}
 
+	/**
+	 * Returns whether the time for open requests is over.
+	 * @return whether this process ends with what is still open
+	 */
+	boolean ending() {
+		return this.ending;
+	}
+
+	/**
+	 * Logs a request that was rejected before its body was complete.
+	 * @param requestId identity of the request, empty if it has none
+	 * @param error response to the caller
+	 */
+	void requestRejected(String requestId, ErrorResponse error) {
+		this.log
+			.line((this.ending) ? DecisionLog.Importance.PROCESS_END : DecisionLog.Importance.FAILURE,
+					"request-rejected")
+			.with("request", requestId)
+			.with("reason", error.reason())
+			.with("status", error.status().code())
+			.write();
+	}
+
 	/**
 	 * Returns whether a request ends before this process does.
 	 * @param deadlineNanos monotonic time at which the request ends at the latest
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -93,6 +93,9 @@
 
 	private long lastUnwrittenBytes = -1;
 
+	/** What ended the connection, empty for a close by the caller. */
+	private String endCause = "";
+
 	GatewayConnection(Gateway gateway) {
 		this.gateway = gateway;
 		this.pipelined = new PipelinedMessages(gateway.pipelineBudget());
@@ -127,7 +130,7 @@
 		GatewayRequest openRequest = this.request;
 		this.request = null;
 		if (openRequest != null) {
-			openRequest.callerDisconnected();
+			openRequest.callerDisconnected(this.endCause);
 		}
 		releaseBody();
 		this.pipelined.clear();
@@ -143,6 +146,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.endCause = String.valueOf(cause);
 		// A reset by the caller is a normal end of a connection.
 		if (!(cause instanceof IOException)) {
 			logger.atSevere().withCause(cause).log("unexpected exception; closing the caller's connection");
@@ -180,8 +184,8 @@
 					&& nowNanos - this.headStartNanos > TimeUnit.MILLISECONDS.toNanos(limits.headTimeoutMs());
 			if (headTimedOut || idleMs > limits.idleTimeoutMs()) {
 				this.keepAlive = false;
-				sendError(new ErrorResponse(HttpResponseStatus.REQUEST_TIMEOUT, "slow-request",
-						"the request did not arrive in time", 0), "");
+				reject(new ErrorResponse(HttpResponseStatus.REQUEST_TIMEOUT, "slow-request",
+						"the request did not arrive in time", 0));
 			}
 		}
 		else if (idleMs > limits.idleTimeoutMs()) {
@@ -214,6 +218,25 @@
 		}
 	}
 
+	/**
+	 * Ends the open request, or the one that is being received, because this process
+	 * ends.
+	 */
+	void processEnding() {
+		GatewayRequest openRequest = this.request;
+		if (this.closing || this.discarding) {
+			return;
+		}
+		if (openRequest != null) {
+			openRequest.processEnding();
+		}
+		else if (this.head != null || this.headIncomplete) {
+			this.keepAlive = false;
+			reject(ErrorResponse.notRun("stopping", "this process ends before the request has arrived",
+					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
+		}
+	}
+
 	/**
 	 * Tells whether a request is open or being received, or a response is not yet passed
 	 * to the network, so that the end of this process would cut it off.
@@ -221,7 +244,7 @@
 	 */
 	boolean busy() {
 		return this.request != null || this.head != null || this.headIncomplete || !this.pipelined.isEmpty()
-				|| this.closing;
+				|| this.closing || this.discarding;
 	}
 
 	private void handle(Object message) {
@@ -248,11 +271,11 @@
 		this.head = httpRequest;
 		this.keepAlive = httpRequest.decoderResult().isSuccess() && HttpUtil.isKeepAlive(httpRequest);
 		if (!httpRequest.decoderResult().isSuccess()) {
-			sendError(malformedHead(httpRequest.decoderResult().cause()), "");
+			reject(malformedHead(httpRequest.decoderResult().cause()));
 			return;
 		}
 		if (HttpUtil.getContentLength(httpRequest, 0L) > this.gateway.limits().maxBodyBytes()) {
-			sendError(bodyTooLong(), PlatformHeaders.decodeRequest(httpRequest).requestId());
+			reject(bodyTooLong());
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(httpRequest)) {
@@ -287,21 +310,19 @@
 		}
 		if (content.decoderResult().isFailure()) {
 			this.keepAlive = false;
-			sendError(ErrorResponse.denied(HttpResponseStatus.BAD_REQUEST, "malformed-body",
-					"the body is not valid HTTP"), "");
+			reject(ErrorResponse.denied(HttpResponseStatus.BAD_REQUEST, "malformed-body",
+					"the body is not valid HTTP"));
 			return;
 		}
 		ByteBuf buffered = this.body;
 		int length = content.content().readableBytes() + ((buffered != null) ? buffered.readableBytes() : 0);
 		if (length > this.gateway.limits().maxBodyBytes()) {
-			sendError(bodyTooLong(), PlatformHeaders.decodeRequest(httpRequest).requestId());
+			reject(bodyTooLong());
 			return;
 		}
 		if (!this.gateway.bodyBudget().tryGrow(this.reservedBodyBytes, content.content().readableBytes())) {
-			sendError(
-					ErrorResponse.notRun("no-room", "other requests use the memory for bodies",
-							this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)),
-					PlatformHeaders.decodeRequest(httpRequest).requestId());
+			reject(ErrorResponse.notRun("no-room", "other requests use the memory for bodies",
+					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
 			return;
 		}
 		this.reservedBodyBytes += content.content().readableBytes();
@@ -356,6 +377,14 @@
 		}
 	}
 
+	// Rejects a request that has not arrived as a whole.
+	private void reject(ErrorResponse error) {
+		HttpRequest receivedHead = this.head;
+		String requestId = (receivedHead != null) ? PlatformHeaders.decodeRequest(receivedHead).requestId() : "";
+		this.gateway.requestRejected(requestId, error);
+		sendError(error, requestId);
+	}
+
 	/**
 	 * Sends an error response as problem details.
 	 * @param error the error
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -474,17 +474,28 @@
 	}
 
 	/**
-	 * Called when the caller has closed its connection.
+	 * Called when the connection of the caller has ended.
+	 * @param detail what ended it, empty for a close by the caller
 	 */
-	void callerDisconnected() {
+	void callerDisconnected(String detail) {
 		if (this.done) {
 			return;
 		}
 		TargetAttempt attempt = this.currentAttempt;
 		if (attempt != null) {
-			attempt.cancel("the caller closed its connection");
+			attempt.cancel("the connection of the caller has ended");
+		}
+		finish("caller-gone", attempt, detail);
+	}
+
+	/**
+	 * Ends the request because this process ends. Its caller gets what is true of it: not
+	 * run, an unknown outcome, or the end of a stream that is visibly incomplete.
+	 */
+	void processEnding() {
+		if (!this.done) {
+			giveUp("this process ends");
 		}
-		finish("caller-gone", attempt, "");
 	}
 
 	/**
@@ -500,7 +511,7 @@
 
 	private void giveUp(String reason) {
 		TargetAttempt attempt = this.currentAttempt;
-		boolean attemptInFlight = attempt != null;
+		boolean attemptInFlight = attempt != null && attempt.sent();
 		if (attempt != null) {
 			attempt.cancel(reason);
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -65,8 +65,7 @@
 
 	void requestEnded(Summary summary, CallerRequestHead head, @Nullable TargetAttempt lastAttempt) {
 		this.gateway.log()
-			.line((summary.successful()) ? DecisionLog.Importance.SUCCESS : DecisionLog.Importance.FAILURE,
-					"request-ended")
+			.line(importance(summary), "request-ended")
 			.with("request", this.requestId)
 			.with("outcome", summary.outcome())
 			.with("detail", summary.detail())
@@ -89,6 +88,13 @@
 			.write();
 	}
 
+	private DecisionLog.Importance importance(Summary summary) {
+		if (this.gateway.ending()) {
+			return DecisionLog.Importance.PROCESS_END;
+		}
+		return (summary.successful()) ? DecisionLog.Importance.SUCCESS : DecisionLog.Importance.FAILURE;
+	}
+
 	/**
 	 * Outcome and figures of a completed request.
 	 *
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -294,6 +294,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the request may have reached the target.
+	 * @return false while it waits for a connection
+	 */
+	boolean sent() {
+		HttpExchange openExchange = this.exchange;
+		return openExchange != null && openExchange.isSent();
+	}
+
 	void setReading(boolean enabled) {
 		HttpExchange openExchange = this.exchange;
 		if (openExchange != null && !this.done) {
