Reset a connection whose close would make a cut stream look whole

A caller of HTTP/1.0 took a stream as complete that the end of the gateway's process had cut: such a stream ends with its connection, and the kernel closes it when the process is killed. Only abort() set a reset, and a killed process aborts nothing.

Now the connection is set to be reset from the first byte of such a stream, and set back once its last byte has been handed to the kernel, so that a whole stream, also to a slow caller, still ends with a close.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -53,6 +53,9 @@
 	/** Time for a caller to read a response sent before the end of its request body. */
 	private static final long LINGER_MS = 1_000;
 
+	/** Value of SO_LINGER for a close that delivers what was written. */
+	private static final int NO_LINGER = -1;
+
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	private final Gateway gateway;
@@ -91,6 +94,8 @@
 
 	private boolean flushScheduled;
 
+	private boolean resetsOnClose;
+
 	private long lastUnwrittenBytes = -1;
 
 	/** What ended the connection, empty for a close by the caller. */
@@ -445,6 +450,7 @@
 		}
 		else {
 			this.keepAlive = false;
+			resetOnClose();
 		}
 		setConnectionHeader(response);
 		write(response);
@@ -477,12 +483,17 @@
 	 */
 	void abort() {
 		this.request = null;
-		if (!callerReadsChunks()) {
-			channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
-		}
 		close();
 	}
 
+	// A response that ends with its connection looks complete when the connection is
+	// closed. Until it is, every close has to be a reset, also the one by the kernel when
+	// this process is killed.
+	private void resetOnClose() {
+		this.resetsOnClose = true;
+		channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+	}
+
 	private void responseCompleted() {
 		this.request = null;
 		this.head = null;
@@ -545,7 +556,12 @@
 
 	private void closeAfterWrites() {
 		this.closing = true;
-		channelContext().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		channelContext().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (written) -> {
+			if (written.isSuccess() && this.resetsOnClose) {
+				written.channel().config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
+			}
+			written.channel().close();
+		});
 	}
 
 	private ChannelHandlerContext channelContext() {
