Pass on a response only if it is shown to belong to its request

Callers without an id got the answer to another caller's request, also of another workspace, and an order that ran was answered 503 (not run): targets may send an answer a second time, late, and the gateway took whatever came next on a connection unless its id contradicted the request's. Cause: the absence of a contradiction counted as a match.

The client of a target now matches by identity: a response that repeats the id of the call is its own; one with another id is skipped; one without an id is taken only if the connection has carried no other call, otherwise the outcome is unknown. Unmatched responses have a line and a counter.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -390,6 +390,10 @@
 		return allowed;
 	}
 
+	GatewayMetrics metrics() {
+		return this.metrics;
+	}
+
 	RequestGuard requestGuard() {
 		return this.requestGuard;
 	}
@@ -426,7 +430,8 @@
 				Math.min(9, Math.max(0, urgency)), 0, resumeAfter);
 		Duration timeout = Duration.ofMillis(remainingMs + 1_000);
 		HttpCall call = new HttpCall(head.method(), head.path(),
-				PlatformHeaders.targetHeaders(callerHeaders, targetHead), timeout, timeout, body.length);
+				PlatformHeaders.targetHeaders(callerHeaders, targetHead), timeout, timeout, body.length,
+				head.requestId());
 		HttpExchange exchange = attempt.pooledTarget().client().open(call, attempt);
 		attempt.exchange(exchange);
 		if (body.length > 0) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
@@ -20,6 +20,8 @@
 
 	private final Counter retryStarted;
 
+	private final Counter responseUnmatched;
+
 	private final Histogram requestSeconds;
 
 	GatewayMetrics(PrometheusRegistry registry, LongSupplier droppedLines) {
@@ -36,6 +38,10 @@
 			.name("baobabknot_repeats")
 			.help("requests sent to a further target")
 			.register(registry);
+		this.responseUnmatched = Counter.builder()
+			.name("baobabknot_unmatched_responses")
+			.help("responses of targets that were not shown to belong to the request on their connection")
+			.register(registry);
 		this.requestSeconds = Histogram.builder()
 			.name("baobabknot_request_seconds")
 			.help("time from the last byte of a request to the end of its answer")
@@ -59,6 +65,10 @@
 		this.attemptStarted.inc();
 	}
 
+	void responseUnmatched() {
+		this.responseUnmatched.inc();
+	}
+
 	void retryStarted() {
 		this.retryStarted.inc();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -16,6 +16,7 @@
 import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.httpclient.HttpFailure;
 import org.baobabknot.httpclient.ResponseHead;
+import org.baobabknot.httpclient.ResponseOwner;
 import org.baobabknot.placement.PlacementResult;
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
@@ -329,6 +330,17 @@
 		return !callerLikelyGone && now + MIN_ATTEMPT_MS * NANOS_PER_MS < this.deadlineNanos;
 	}
 
+	/**
+	 * Called when a response has arrived that was not shown to belong to the request.
+	 * @param attempt the attempt
+	 * @param response decoded head of the response
+	 * @param owner what the response states
+	 */
+	void responseUnmatched(TargetAttempt attempt, TargetResponseHead response, ResponseOwner owner) {
+		this.gateway.metrics().responseUnmatched();
+		this.log.responseUnmatched(attempt, response, owner);
+	}
+
 	/**
 	 * Called when a complete response other than a stream was received.
 	 * @param attempt the attempt
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -3,8 +3,10 @@
 import java.util.stream.Collectors;
 
 import org.baobabknot.fleet.FleetConfiguration;
+import org.baobabknot.httpclient.ResponseOwner;
 import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.provider.CallerRequestHead;
+import org.baobabknot.provider.TargetResponseHead;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -63,6 +65,25 @@
 			.collect(Collectors.joining(","));
 	}
 
+	/**
+	 * Logs a response that was not shown to belong to the request.
+	 * @param attempt the attempt that its connection carries
+	 * @param response decoded head of the response
+	 * @param owner what the response states
+	 */
+	void responseUnmatched(TargetAttempt attempt, TargetResponseHead response, ResponseOwner owner) {
+		this.gateway.log()
+			.line(DecisionLog.Importance.FAILURE, "response-unmatched")
+			.with("request", this.requestId)
+			.with("target", attempt.target().id())
+			.with("address", attempt.target().address())
+			.with("states", owner.name())
+			.with("responseRequest", response.requestId())
+			.with("status", response.status())
+			.with("afterMs", (System.nanoTime() - attempt.sentNanos()) / NANOS_PER_MS)
+			.write();
+	}
+
 	void requestEnded(Summary summary, CallerRequestHead head, @Nullable TargetAttempt lastAttempt) {
 		this.gateway.log()
 			.line(importance(summary), "request-ended")
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -9,6 +9,7 @@
 import org.baobabknot.httpclient.HttpFailure;
 import org.baobabknot.httpclient.ResponseHead;
 import org.baobabknot.httpclient.ResponseListener;
+import org.baobabknot.httpclient.ResponseOwner;
 import org.baobabknot.placement.TargetLoad;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
@@ -138,9 +139,17 @@
 	}
 
 	@Override
-	public boolean accepts(ResponseHead candidate) {
+	public ResponseOwner owner(ResponseHead candidate) {
 		String responseId = PlatformHeaders.decodeResponse(candidate).requestId();
-		return responseId.isEmpty() || this.requestId.isEmpty() || responseId.equals(this.requestId);
+		if (responseId.isEmpty() || this.requestId.isEmpty()) {
+			return ResponseOwner.UNSTATED;
+		}
+		return (responseId.equals(this.requestId)) ? ResponseOwner.THIS_CALL : ResponseOwner.OTHER_CALL;
+	}
+
+	@Override
+	public void onUnmatched(ResponseHead candidate, ResponseOwner owner) {
+		this.request.responseUnmatched(this, PlatformHeaders.decodeResponse(candidate), owner);
 	}
 
 	@Override
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -14,6 +14,7 @@
 import org.baobabknot.httpclient.ConnectionHook;
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.httpclient.HttpClientSettings;
+import org.baobabknot.httpclient.ResponseMatching;
 import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
 import org.baobabknot.provider.TargetRunCheck;
@@ -75,9 +76,9 @@
 			existing.client().close();
 			retainStatements(target.id(), existing);
 		}
-		HttpClient client = new HttpClient(this.group, target.host(), target.port(),
-				new HttpClientSettings(maxConnections(target), CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES,
-						MAX_BODY_BYTES, true),
+		HttpClient client = new HttpClient(
+				this.group, target.host(), target.port(), new HttpClientSettings(maxConnections(target),
+						CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES, MAX_BODY_BYTES, true, ResponseMatching.BY_IDENTITY),
 				ConnectionHook.NONE);
 		StatedAvailability availability = this.retained.getOrDefault(startOf(target.id(), target.startedMs()),
 				new StatedAvailability());
