Drop load reports with values that can't be

A datagram with a count above the range of int was taken as a negative number of requests: its target looked less than idle and got all of the placement's requests until the next report, and the report was passed on to the region. The sequences that were seen were also kept for any address that a datagram named, without a bound.

Counts and delays outside what can be are dropped before the sequence is recorded, so that such a report doesn't hide the next one, and 8,192 addresses are remembered. LoadReceiverTests.areDroppedAndNotPassedOn failed before (one report passed on); all 5 pass. Senders are not checked: a gateway that is not listed yet would be ignored in its first second.

--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -1,7 +1,6 @@
 package org.baobabknot.gateway;
 
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,11 +45,25 @@
 	/** Reports in one datagram, so that it fits into one packet of a usual network. */
 	private static final int MAX_RELAYED_REPORTS = 20;
 
+	/** Targets whose last report is remembered, those that reported last. */
+	private static final int MAX_ADDRESSES = 8_192;
+
+	/** Requests at one target above which a report can't be. */
+	private static final int MAX_REQUESTS = 1_000_000;
+
+	/** Delays above which a report can't be, in ms. */
+	private static final int MAX_DELAY_MS = 600_000;
+
 	private final Listener listener;
 
 	private final Supplier<List<EntryRecord>> relayRecipients;
 
-	private final Map<String, Long> lastSequences = new HashMap<>();
+	private final Map<String, Long> lastSequences = new LinkedHashMap<>(16, 0.75f, true) {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_ADDRESSES;
+		}
+	};
 
 	private final Map<String, LoadReport> reportsToPassOn = new LinkedHashMap<>();
 
@@ -130,6 +143,10 @@
 	// A restarted sender begins its sequence with the time of day, so its reports are not
 	// taken for old ones.
 	private boolean handleReport(LoadReport report) {
+		if (!isPossible(report)) {
+			logger.atInfo().log("dropping a load report of %s with values that can't be", report.getAddress());
+			return false;
+		}
 		Long lastSequence = this.lastSequences.get(report.getAddress());
 		if (lastSequence != null && lastSequence >= report.getSequence()) {
 			return false;
@@ -140,6 +157,17 @@
 		return true;
 	}
 
+	// Unsigned fields that exceed the range of int are negative here.
+	private static boolean isPossible(LoadReport report) {
+		return isBetween(report.getLoad().getRunning(), MAX_REQUESTS)
+				&& isBetween(report.getLoad().getQueued(), MAX_REQUESTS)
+				&& isBetween(report.getLinkDelayMs(), MAX_DELAY_MS) && isBetween(report.getLateMs(), MAX_DELAY_MS);
+	}
+
+	private static boolean isBetween(int value, int max) {
+		return value >= 0 && value <= max;
+	}
+
 	private void passOn(ChannelHandlerContext context, LoadReport report) {
 		if (this.reportsToPassOn.isEmpty()) {
 			context.executor().schedule(() -> flushReports(context), RELAY_DELAY_MS, TimeUnit.MILLISECONDS);
--- a/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
@@ -112,6 +112,33 @@
 		return this.group.next().submit(() -> List.copyOf(this.reported)).get();
 	}
 
+	/**
+	 * A report with values beyond the range of a signed number made a target look idle,
+	 * or less than idle, to the placement.
+	 */
+	@Nested
+	class ImpossibleReports {
+
+		@Test
+		void areDroppedAndNotPassedOn() throws Exception {
+			send(report(1, 1, true).toBuilder().setLoad(Load.newBuilder().setRunning(-5)).build());
+			send(report(2, 1, true).toBuilder().setLoad(Load.newBuilder().setQueued(-5)).build());
+			send(report(3, 1, true).toBuilder().setLinkDelayMs(-1).build());
+			send(report(4, 1, true).toBuilder().setLateMs(-1).build());
+			assertThat(receiveAll(), hasSize(0));
+			assertThat(reported(), hasSize(0));
+		}
+
+		@Test
+		void doNotHideTheNextReport() throws Exception {
+			send(report(1, 9, false).toBuilder().setLateMs(-1).build());
+			send(report(1, 2, false));
+			receiveAll();
+			assertThat(reported(), is(List.of("10.200.100.1:50000 1")));
+		}
+
+	}
+
 	@Nested
 	class Relay {
 
