Give a connection to each request at targets whose refusals carry no id

A target that sends one refusal without an id is from then on sent each request on a connection of its own, where the refusal can be of no other; the first one may end as unknown.

--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -149,7 +149,17 @@
 
 	@Override
 	public void onUnmatched(ResponseHead candidate, ResponseOwner owner) {
-		this.request.responseUnmatched(this, PlatformHeaders.decodeResponse(candidate), owner);
+		TargetResponseHead unmatched = PlatformHeaders.decodeResponse(candidate);
+		checkRefusalIdentity(unmatched);
+		this.request.responseUnmatched(this, unmatched, owner);
+	}
+
+	// A refusal without an id is only known to be that of a request if its connection
+	// carries no other.
+	private void checkRefusalIdentity(TargetResponseHead candidate) {
+		if (candidate.notRun() && candidate.requestId().isEmpty() && !this.requestId.isEmpty()) {
+			this.pooledTarget.client().useConnectionsOnce();
+		}
 	}
 
 	@Override
@@ -159,6 +169,7 @@
 		TargetResponseHead receivedResponse = PlatformHeaders.decodeResponse(receivedHead);
 		this.responseHead = receivedHead;
 		this.response = receivedResponse;
+		checkRefusalIdentity(receivedResponse);
 		if (receivedResponse.runningRequests() >= 0) {
 			this.load.recordResponseLoad(
 					receivedResponse.runningRequests() + Math.max(0, receivedResponse.queuedRequests()), now);
