Harden the end of a gateway after its review

Each is guarded and logged now, and the end of the process is scheduled first. - The grace counted from when the event loop handled the stop, not from the signal. - A response that was still being written when the process ended had no line, as its request had ended: response-cut names it and the bytes that were left. caller-gone names the first cause of the end, not the exception that followed it. - The success of a CONNECT request reached its caller without its body and spoilt the next request on the connection, of another caller. It is refused with 405. - An option of a channel that has just been closed is not set, as the error would have looked like a lost target.

LateAnswerTests.Tunnels and ProcessEndTests.haveALineInTheLogWhenTheResponseIsStillBeingSent are new; the second failed without the line (the process ended without it). Guards and the time of the signal have no test.

--- a/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
@@ -115,6 +115,7 @@
 		}
 		catch (CompletionException ex) {
 			err.println("cannot run " + settings.instance() + ": " + ex.getCause());
+			log.flush(LOG_FLUSH_MS);
 			return EXIT_FAILED;
 		}
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -240,6 +240,7 @@
 	 */
 	public CompletableFuture<Void> shutDown() {
 		this.shuttingDown = true;
+		long signalNanos = System.nanoTime();
 		this.loop.execute(() -> {
 			if (this.shutdownWindow != null) {
 				return;
@@ -247,20 +248,35 @@
 			this.ready = false;
 			this.registration.stop();
 			long drainMs = (long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO);
-			this.shutdownWindow = new ShutdownWindow(System.nanoTime() + drainMs * NANOS_PER_MS);
+			this.shutdownWindow = new ShutdownWindow(signalNanos + drainMs * NANOS_PER_MS);
+			// The loop may have stood still since the signal.
+			long elapsedMs = (System.nanoTime() - signalNanos) / NANOS_PER_MS;
 			this.loop.schedule(() -> {
 				this.draining = true;
 				List.copyOf(this.connections).forEach(GatewayConnection::drain);
-			}, BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
-			this.loop.schedule(this::endOpenRequests, drainMs, TimeUnit.MILLISECONDS);
+			}, BALANCER_LAG_MS - elapsedMs, TimeUnit.MILLISECONDS);
+			this.loop.schedule(this::endOpenRequests, drainMs - elapsedMs, TimeUnit.MILLISECONDS);
 		});
 		return this.shutdownComplete;
 	}
 
 	private void endOpenRequests() {
 		this.ending = true;
-		List.copyOf(this.connections).forEach(GatewayConnection::processEnding);
 		this.loop.schedule(() -> this.shutdownComplete.complete(null), FINAL_ANSWERS_MS, TimeUnit.MILLISECONDS);
+		List.copyOf(this.connections).forEach((connection) -> guard("end-request", connection::processEnding));
+	}
+
+	// An error of one request must not keep the others, or the process, from ending.
+	private void guard(String step, Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			this.log.line(DecisionLog.Importance.STATE, "step-failed")
+				.with("step", step)
+				.with("error", String.valueOf(ex))
+				.write();
+		}
 	}
 
 	String instance() {
@@ -327,6 +343,18 @@
 			.write();
 	}
 
+	/**
+	 * Logs a response that the end of this process cuts before its caller has it.
+	 * @param requestId identity of the request, empty if it has none
+	 * @param unwrittenBytes bytes that were not passed to the network
+	 */
+	void responseCut(String requestId, long unwrittenBytes) {
+		this.log.line(DecisionLog.Importance.PROCESS_END, "response-cut")
+			.with("request", requestId)
+			.with("unwrittenBytes", unwrittenBytes)
+			.write();
+	}
+
 	/**
 	 * Returns whether a request ends before this process does.
 	 * @param deadlineNanos monotonic time at which the request ends at the latest
@@ -494,7 +522,7 @@
 		if (this.view.freshness().hasJumped(now, wallMs)) {
 			this.feed.confirmNow();
 		}
-		List.copyOf(this.requests).forEach((request) -> request.checkTimeouts(now));
+		List.copyOf(this.requests).forEach((request) -> guard("check-request", () -> request.checkTimeouts(now)));
 		boolean nowReady = this.view.configuration().isPresent() && keysFresh() && targetsFresh();
 		if (nowReady != this.ready && !this.shuttingDown) {
 			this.ready = nowReady;
@@ -506,7 +534,8 @@
 		this.sweepCount++;
 		if (this.sweepCount % SWEEPS_PER_CONNECTION_CHECK == 0) {
 			CallerLimits limits = limits();
-			List.copyOf(this.connections).forEach((connection) -> connection.checkTimeouts(limits, now));
+			List.copyOf(this.connections)
+				.forEach((connection) -> guard("check-connection", () -> connection.checkTimeouts(limits, now)));
 			this.targetPool.sweep();
 		}
 		if (this.draining && this.requests.isEmpty() && this.connections.stream().noneMatch(GatewayConnection::busy)) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -12,6 +12,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -101,6 +103,9 @@
 	/** What ended the connection, empty for a close by the caller. */
 	private String endCause = "";
 
+	/** Identity of the request whose response is written, empty if it has none. */
+	private String lastRequestId = "";
+
 	GatewayConnection(Gateway gateway) {
 		this.gateway = gateway;
 		this.pipelined = new PipelinedMessages(gateway.pipelineBudget());
@@ -151,7 +156,9 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.endCause = String.valueOf(cause);
+		if (this.endCause.isEmpty()) {
+			this.endCause = String.valueOf(cause);
+		}
 		// A reset by the caller is a normal end of a connection.
 		if (!(cause instanceof IOException)) {
 			logger.atSevere().withCause(cause).log("unexpected exception; closing the caller's connection");
@@ -201,8 +208,7 @@
 	// A caller may read a response slowly, but not stop reading for longer than it may be
 	// idle.
 	private void closeIfUnread(CallerLimits limits, long nowNanos) {
-		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
-		long unwritten = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		long unwritten = unwrittenBytes();
 		if (unwritten != this.lastUnwrittenBytes) {
 			this.lastUnwrittenBytes = unwritten;
 			this.idleSinceNanos = nowNanos;
@@ -230,6 +236,7 @@
 	void processEnding() {
 		GatewayRequest openRequest = this.request;
 		if (this.closing || this.discarding) {
+			reportUnwritten();
 			return;
 		}
 		if (openRequest != null) {
@@ -242,6 +249,18 @@
 		}
 	}
 
+	private void reportUnwritten() {
+		long unwritten = unwrittenBytes();
+		if (unwritten > 0) {
+			this.gateway.responseCut(this.lastRequestId, unwritten);
+		}
+	}
+
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
+		return (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+	}
+
 	/**
 	 * Tells whether a request is open or being received, or a response is not yet passed
 	 * to the network, so that the end of this process would cut it off.
@@ -274,7 +293,15 @@
 		this.discarding = false;
 		this.bodyIncomplete = true;
 		this.head = httpRequest;
+		this.lastRequestId = httpRequest.headers().get(PlatformHeaders.requestIdHeader(), "");
 		this.keepAlive = httpRequest.decoderResult().isSuccess() && HttpUtil.isKeepAlive(httpRequest);
+		if (httpRequest.method().equals(HttpMethod.CONNECT)) {
+			// The client codec takes a success as a tunnel, without the body.
+			this.keepAlive = false;
+			reject(ErrorResponse.denied(HttpResponseStatus.METHOD_NOT_ALLOWED, "method-not-supported",
+					"tunnels are not supported"));
+			return;
+		}
 		if (!httpRequest.decoderResult().isSuccess()) {
 			reject(malformedHead(httpRequest.decoderResult().cause()));
 			return;
@@ -384,8 +411,7 @@
 
 	// Rejects a request that has not arrived as a whole.
 	private void reject(ErrorResponse error) {
-		HttpRequest receivedHead = this.head;
-		String requestId = (receivedHead != null) ? PlatformHeaders.decodeRequest(receivedHead).requestId() : "";
+		String requestId = (this.head != null) ? this.lastRequestId : "";
 		this.gateway.requestRejected(requestId, error);
 		sendError(error, requestId);
 	}
@@ -490,8 +516,14 @@
 	// closed. Until it is, every close has to be a reset, also the one by the kernel when
 	// this process is killed.
 	private void resetOnClose() {
-		this.resetsOnClose = true;
-		channelContext().channel().config().setOption(ChannelOption.SO_LINGER, 0);
+		Channel channel = channelContext().channel();
+		// The options of a closed channel can't be set, which must not look like a
+		// failure
+		// of the target.
+		if (channel.isActive()) {
+			this.resetsOnClose = true;
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		}
 	}
 
 	private void responseCompleted() {
@@ -557,7 +589,7 @@
 	private void closeAfterWrites() {
 		this.closing = true;
 		channelContext().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (written) -> {
-			if (written.isSuccess() && this.resetsOnClose) {
+			if (written.isSuccess() && this.resetsOnClose && written.channel().isActive()) {
 				written.channel().config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
 			}
 			written.channel().close();
--- a/daemon/src/test/java/org/baobabknot/gateway/LateAnswerTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LateAnswerTests.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
@@ -63,6 +64,59 @@
 
 	}
 
+	/**
+	 * True refusals without an id ended as unknown outcomes, which callers may not
+	 * repeat.
+	 */
+	@Nested
+	class TrueRefusalsWithoutAnId {
+
+		private int count(int status) throws Exception {
+			int count = 0;
+			for (int number = 0; number < REQUESTS; number++) {
+				count += (LateAnswerTests.this.fixture.call("POST", "/orders/x", "o" + number, "").status() == status)
+						? 1 : 0;
+			}
+			return count;
+		}
+
+		@Test
+		void areNotRunOnceTheTargetIsKnownToSendThem() throws Exception {
+			EmulatedEngine engine = start("plain", "");
+			engine.lateDuplicates = false;
+			engine.refusalsCarryIds = false;
+			assertThat(count(200), is(REQUESTS));
+			engine.refusesRequests = true;
+			assertThat(count(503), greaterThanOrEqualTo(REQUESTS - 1));
+			assertThat(count(503), is(REQUESTS));
+			engine.refusesRequests = false;
+			assertThat(count(200), is(REQUESTS));
+		}
+
+	}
+
+	/**
+	 * The success of a CONNECT request reached its caller without a body, and its bytes
+	 * met the next request on the connection.
+	 */
+	@Nested
+	class Tunnels {
+
+		@Test
+		void areRefusedAndDisturbNoOtherRequest() throws Exception {
+			EmulatedEngine engine = start("plain", "");
+			engine.lateDuplicates = false;
+			for (int number = 0; number < REQUESTS; number++) {
+				String id = "read" + number;
+				assertThat(LateAnswerTests.this.fixture.call("CONNECT", "/reads/x", "tunnel" + number, "").status(),
+						is(405));
+				assertThat(LateAnswerTests.this.fixture.call("GET", "/reads/x", id, "").body(),
+						equalTo("answer to " + id));
+			}
+		}
+
+	}
+
 	/**
 	 * A refusal of an earlier request was taken for that of a request that ran, which was
 	 * then reported as not run, or run again.
@@ -76,10 +130,12 @@
 			engine.refusalsCarryIds = false;
 			for (int number = 0; number < REQUESTS; number++) {
 				engine.refusesRequests = true;
-				LateAnswerTests.this.fixture.call("POST", "/orders/x", "refused" + number, "");
+				assertThat(LateAnswerTests.this.fixture.call("POST", "/orders/x", "refused" + number, "").status(),
+						is(503));
 				engine.refusesRequests = false;
 				String id = "order" + number;
 				int status = LateAnswerTests.this.fixture.call("POST", "/orders/x", id, "").status();
+				assertThat(status, is(200));
 				long runs = engine.events()
 					.stream()
 					.filter((event) -> event.kind() == EmulatedEngine.EventKind.STARTED && event.requestId().equals(id))
--- a/daemon/src/test/java/org/baobabknot/gateway/ProcessEndTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/ProcessEndTests.java
@@ -1,5 +1,8 @@
 package org.baobabknot.gateway;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +30,8 @@
 
 	private static final int CALLERS = 4;
 
+	private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
 	private static final long TIMEOUT_SECONDS = 30;
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -137,6 +142,23 @@
 			assertThat(log, containsString("\"event\":\"stopped\""));
 		}
 
+		@Test
+		void haveALineInTheLogWhenTheResponseIsStillBeingSent() throws Exception {
+			ProcessEndTests.this.gateway.plainEngine().paddingBytes = 3_900_000;
+			try (Socket caller = new Socket()) {
+				caller.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+				caller.connect(new InetSocketAddress("127.0.0.1", ProcessEndTests.this.gateway.port()));
+				caller.getOutputStream()
+					.write(EmulatedCaller.request("POST", "/orders/x", "r0", "", "body")
+						.getBytes(StandardCharsets.US_ASCII));
+				Thread.sleep(1_000);
+				ProcessEndTests.this.gateway.signal("TERM");
+				assertThat(ProcessEndTests.this.gateway.awaitExit(GatewayProcess.SHUTDOWN_MS + 2_000), is(true));
+			}
+			assertThat(ProcessEndTests.this.gateway.log(),
+					containsString("\"event\":\"response-cut\",\"request\":\"r0\""));
+		}
+
 	}
 
 	@Nested
