Stop gateways under load and count what their callers get

./experiment stops runs real gateway processes before emulated targets with the streams of the two fleets (21 and 12 events, 2 to 5 s), orders and reads; new and kept connections; bodies with a length, in chunks, over a second, after 100-continue; pipelined requests. LOST is counted as the users state it, with their exceptions; stops with a freeze are counted apart.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -8,6 +8,7 @@
 import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
 import org.baobabknot.soak.SoakExperiment;
+import org.baobabknot.stops.StopsExperiment;
 
 /**
  * The available experiments. A new experiment needs a constant here with its summary and
@@ -41,6 +42,9 @@
 	SOAK("runs gateways under load and overlapping faults drawn from a seed, and checks the rules",
 			SoakExperiment::new),
 
+	/** Stops of gateways under load. */
+	STOPS("stops gateways under load and counts what their callers get", StopsExperiment::new),
+
 	/** Goodput and refusals at twice the capacity. */
 	OVERLOAD("loads targets with twice their capacity, with a baseline in the same run", OverloadExperiment::new),
 
