Read on after the last response until the caller closes

A caller that reads slowly lost the end of its response when it sent a further request after the gateway had closed: bytes that arrive at a closed socket reset the connection, and what waits in the kernel is gone. It was seen with a response of 300 kB and a receive buffer of 4 kB, in a stop.

SlowReaders failed before (connection reset).

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -118,6 +119,10 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.closing) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
 		this.idleSinceNanos = System.nanoTime();
 		if (this.request != null || !this.pipelined.isEmpty()) {
 			if (!this.pipelined.add(message)) {
@@ -309,7 +314,7 @@
 		}
 		if (this.discarding || httpRequest == null) {
 			if (last && this.discarding) {
-				close();
+				closeAfterWrites();
 			}
 			return;
 		}
@@ -554,13 +559,21 @@
 		channelContext().close();
 	}
 
+	// Bytes of the caller that arrive after a close reset the connection and may destroy
+	// the end of the response, so they are read until the caller closes too.
 	private void closeAfterWrites() {
 		this.closing = true;
 		channelContext().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (written) -> {
-			if (written.isSuccess() && this.resetsOnClose) {
-				written.channel().config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
+			if (!written.isSuccess() || !(written.channel() instanceof DuplexChannel channel)) {
+				written.channel().close();
+				return;
+			}
+			if (this.resetsOnClose) {
+				channel.config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
 			}
-			written.channel().close();
+			channel.config().setAutoRead(true);
+			channel.shutdownOutput();
+			channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 		});
 	}
 
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
@@ -0,0 +1,100 @@
+package org.baobabknot.gateway;
+
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+import org.baobabknot.emulator.EmulatedCaller;
+import org.baobabknot.emulator.EmulatedEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+/**
+ * Tests what callers get for requests that cross the closes of a stopping gateway.
+ */
+class GatewayStopTests {
+
+	/** Time after the signal at which connections are drained. */
+	private static final long DRAIN_START_MS = 3_500;
+
+	private static final long TIMEOUT_SECONDS = 10;
+
+	private final GatewayFixture fixture = new GatewayFixture();
+
+	private EmulatedEngine streams;
+
+	private EmulatedEngine plain;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.plain = this.fixture.addEngine("t1", "plain", "a", "");
+		this.streams = this.fixture.addEngine("t2", "models", "a", GatewayFixture.MODEL);
+		this.streams.eventsPerStream = 21;
+		this.streams.eventIntervalMs = 200;
+		this.fixture.start();
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		this.fixture.close();
+	}
+
+	private static String order(String id) {
+		return EmulatedCaller.request("POST", "/orders/x", id, "", "order");
+	}
+
+	private static String stream(String id) {
+		return EmulatedCaller.request("POST", "/texts/x", id,
+				EmulatedCaller.modelHeaders(GatewayFixture.MODEL, 100, 21) + EmulatedCaller.deadlineHeader(5_000),
+				"body");
+	}
+
+	private static void sleep(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Bytes that arrived after a close reset the connection, and the rest of the response
+	 * was gone.
+	 */
+	@Nested
+	class SlowReaders {
+
+		private static final int RESPONSE_BYTES = 300_000;
+
+		@Test
+		void getTheWholeResponseAlsoIfTheySendMore() throws Exception {
+			GatewayStopTests.this.plain.paddingBytes = RESPONSE_BYTES;
+			GatewayStopTests.this.fixture.gateway().shutDown();
+			try (Socket caller = new Socket()) {
+				caller.setReceiveBufferSize(4_096);
+				caller.connect(new InetSocketAddress("127.0.0.1", GatewayStopTests.this.fixture.port));
+				caller.getOutputStream().write(order("r1").getBytes(StandardCharsets.US_ASCII));
+				GatewayFixture
+					.await(() -> GatewayStopTests.this.fixture.logOutput.toString().contains("\"request-ended\""));
+				Thread.sleep(200);
+				caller.getOutputStream().write(order("r2").getBytes(StandardCharsets.US_ASCII));
+				Thread.sleep(200);
+				InputStream input = caller.getInputStream();
+				int received = 0;
+				for (int count = input.read(new byte[4_096]); count >= 0; count = input.read(new byte[4_096])) {
+					received += count;
+				}
+				assertThat(received, greaterThan(RESPONSE_BYTES));
+			}
+		}
+
+	}
+
+}
