Serve pipelined requests before their connection is closed in a stop

A request that had been read behind an open one was dropped when a stop closed the connection after the open one, seconds after its last byte: LOST as the users state it. `Connection: close` is now sent with the last response to what was read. PipelinedRequests failed before, both in it.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -509,7 +509,7 @@
 			linger();
 			return;
 		}
-		if (!this.keepAlive || this.draining) {
+		if (!this.keepAlive || (this.draining && this.pipelined.isEmpty())) {
 			closeAfterWrites();
 			return;
 		}
@@ -534,7 +534,8 @@
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		if (this.draining || this.gateway.draining()) {
+		// A request that was read after this one still gets a response here.
+		if ((this.draining || this.gateway.draining()) && this.pipelined.isEmpty()) {
 			this.keepAlive = false;
 		}
 		if (!this.keepAlive) {
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedEngine;
@@ -14,6 +16,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
 /**
  * Tests what callers get for requests that cross the closes of a stopping gateway.
@@ -64,6 +68,43 @@
 		}
 	}
 
+	/**
+	 * Requests that had been read behind an open one were dropped when its connection was
+	 * closed.
+	 */
+	@Nested
+	class PipelinedRequests {
+
+		@Test
+		void areServedWhenTheyCameBeforeTheSignal() throws Exception {
+			try (EmulatedCaller caller = GatewayStopTests.this.fixture.caller()) {
+				caller.send(stream("r1") + order("r2"));
+				Thread.sleep(200);
+				CompletableFuture<Void> ended = GatewayStopTests.this.fixture.gateway().shutDown();
+				assertThat(caller.readResponse().complete(), is(true));
+				EmulatedCaller.Response second = caller.readResponse();
+				assertThat(second.body(), is("answer to r2"));
+				assertThat(second.headers().get("connection"), is("close"));
+				ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			}
+		}
+
+		@Test
+		void areServedWhenTheyCameAfterTheSignal() throws Exception {
+			try (EmulatedCaller caller = GatewayStopTests.this.fixture.caller()) {
+				GatewayStopTests.this.fixture.gateway().shutDown();
+				Thread.sleep(200);
+				caller.send(order("r1") + stream("r2") + order("r3"));
+				EmulatedCaller.Response first = caller.readResponse();
+				assertThat(first.body(), is("answer to r1"));
+				assertThat(first.headers().get("connection"), nullValue());
+				assertThat(caller.readResponse().complete(), is(true));
+				assertThat(caller.readResponse().body(), is("answer to r3"));
+			}
+		}
+
+	}
+
 	/**
 	 * Bytes that arrived after a close reset the connection, and the rest of the response
 	 * was gone.
