Read what has arrived before an idle connection is closed

When the loop had stood still, a drain or the check of idle connections could run before the bytes that had arrived were read: the caller's request was closed unread. The close now waits for one read cycle. UnreadRequests failed before.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -199,15 +199,14 @@
 			}
 		}
 		else if (idleMs > limits.idleTimeoutMs()) {
-			closeAfterWrites();
+			closeIfUnused();
 		}
 	}
 
 	// A caller may read a response slowly, but not stop reading for longer than it may be
 	// idle.
 	private void closeIfUnread(CallerLimits limits, long nowNanos) {
-		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
-		long unwritten = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		long unwritten = unwrittenBytes();
 		if (unwritten != this.lastUnwrittenBytes) {
 			this.lastUnwrittenBytes = unwritten;
 			this.idleSinceNanos = nowNanos;
@@ -217,15 +216,39 @@
 		}
 	}
 
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
+		return (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+	}
+
 	/**
 	 * Closes the connection after the open request.
 	 */
 	void drain() {
 		this.draining = true;
-		if (this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete
-				&& !this.closing) {
-			closeAfterWrites();
-		}
+		if (isUnused()) {
+			closeIfUnused();
+		}
+	}
+
+	// A request that has arrived while the loop was busy is read first. One that crosses
+	// the close is not read, so that its caller can send it again.
+	private void closeIfUnused() {
+		channelContext().executor().schedule(() -> {
+			if (isUnused()) {
+				if (unwrittenBytes() > 0) {
+					closeAfterWrites();
+				}
+				else {
+					close();
+				}
+			}
+		}, READ_CYCLE_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private boolean isUnused() {
+		return this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete
+				&& !this.closing && !this.discarding;
 	}
 
 	/**
@@ -253,8 +276,7 @@
 	 * @return false if the connection is idle
 	 */
 	boolean busy() {
-		return this.request != null || this.head != null || this.headIncomplete || !this.pipelined.isEmpty()
-				|| this.closing || this.discarding;
+		return !isUnused();
 	}
 
 	private void handle(Object message) {
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
@@ -105,6 +105,32 @@
 
 	}
 
+	/**
+	 * Idle connections were closed with a request in the buffers of the kernel.
+	 */
+	@Nested
+	class UnreadRequests {
+
+		@Test
+		void areServedWhenTheLoopStoodStill() throws Exception {
+			try (EmulatedCaller caller = GatewayStopTests.this.fixture.caller()) {
+				assertThat(caller.sendAndRead("POST", "/orders/x", "r1", "", "order").status(), is(200));
+				// Both stalls and the drain become due together, so nothing is read in
+				// between.
+				GatewayStopTests.this.fixture.gateway()
+					.loop()
+					.schedule(() -> GatewayStopTests.sleep(250), DRAIN_START_MS - 100, TimeUnit.MILLISECONDS);
+				GatewayStopTests.this.fixture.gateway()
+					.loop()
+					.schedule(() -> GatewayStopTests.sleep(300), DRAIN_START_MS - 50, TimeUnit.MILLISECONDS);
+				GatewayStopTests.this.fixture.gateway().shutDown();
+				Thread.sleep(DRAIN_START_MS + 300);
+				assertThat(caller.sendAndRead("POST", "/orders/x", "r2", "", "order").status(), is(200));
+			}
+		}
+
+	}
+
 	/**
 	 * Bytes that arrived after a close reset the connection, and the rest of the response
 	 * was gone.
