Decide in core what a stopping gateway does, and answer late connections

Connections that were accepted after the drain had begun were closed unread: callers saw a connection that ends without a byte, or a reset. They get 503 `stopping` with `Connection: close` at the head of the request, before a body is asked for, and nothing of it runs.

A stop was complete when nothing was busy, whatever waited in the accept queue. The port is closed first, once nothing admitted is open, and the connections that were accepted before are answered.

ShutdownWindow holds the decisions: which connections are served, which requests are admitted, refused as not run and why, which idle connections are closed, and the next step of the stop. UnfinishedRequest says what a caller can be told of a request that ends without a response. The time of the stop counts from the signal handler, not from the event loop's turn. A process that doesn't run when the signal comes counts from when it runs again.

ShutdownWindowTests: the same bounds through the new method.

--- a/core/src/test/java/org/baobabknot/placement/ShutdownWindowTests.java
+++ b/core/src/test/java/org/baobabknot/placement/ShutdownWindowTests.java
@@ -13,10 +13,12 @@
  */
 class ShutdownWindowTests {
 
+	private static final long DRAIN = TimeUnit.MILLISECONDS.toNanos(3_500);
+
 	private static final long END = TimeUnit.SECONDS.toNanos(8);
 
 	private static boolean admits(long deadlineMs) {
-		return new ShutdownWindow(END).admits(TimeUnit.MILLISECONDS.toNanos(deadlineMs));
+		return new ShutdownWindow(DRAIN, END).arrival(0, TimeUnit.MILLISECONDS.toNanos(deadlineMs)).admitted();
 	}
 
 	@Nested
@@ -45,7 +47,8 @@
 		@Test
 		void theClockMayOverflow() {
 			long end = Long.MAX_VALUE - 10;
-			assertThat(new ShutdownWindow(end).admits(end + TimeUnit.SECONDS.toNanos(1)), is(false));
+			assertThat(new ShutdownWindow(end - DRAIN, end).arrival(end - END, end + TimeUnit.SECONDS.toNanos(1))
+				.admitted(), is(false));
 		}
 
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
@@ -6,6 +6,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -30,10 +31,10 @@
 	 * @param loop event loop of all connections
 	 * @param address address of the port
 	 * @param acceptor receives each new connection
-	 * @return completed when the port is bound
+	 * @return completed with the port when it is bound
 	 */
-	static CompletableFuture<Void> bind(EventLoop loop, FleetSettings.HostPort address, Consumer<Channel> acceptor) {
-		CompletableFuture<Void> bound = new CompletableFuture<>();
+	static CompletableFuture<Channel> bind(EventLoop loop, FleetSettings.HostPort address, Consumer<Channel> acceptor) {
+		CompletableFuture<Channel> bound = new CompletableFuture<>();
 		new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -51,9 +52,9 @@
 				}
 			})
 			.bind(address.host(), address.port())
-			.addListener((done) -> {
+			.addListener((ChannelFutureListener) (done) -> {
 				if (done.isSuccess()) {
-					bound.complete(null);
+					bound.complete(done.channel());
 				}
 				else {
 					bound.completeExceptionally(done.cause());
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -4,6 +4,8 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -152,12 +154,12 @@
 
 	private volatile boolean shuttingDown;
 
-	private boolean draining;
-
 	private boolean ending;
 
 	private @Nullable ShutdownWindow shutdownWindow;
 
+	private @Nullable Channel callerPort;
+
 	private int sweepCount;
 
 	/**
@@ -220,6 +222,7 @@
 		FleetSettings.HostPort callerAddress = this.settings.callerAddress().orElseThrow();
 		FleetSettings.HostPort readinessAddress = this.settings.readinessAddress().orElseThrow();
 		return CallerPort.bind(this.loop, callerAddress, this::accept)
+			.thenAccept((bound) -> this.callerPort = bound)
 			.thenCompose((done) -> this.operatorPort.bind(readinessAddress.host(), readinessAddress.port()))
 			.thenCompose((done) -> this.operatorPort.bind(this.settings.host(), this.settings.metricsPort()))
 			.thenCompose((done) -> this.loadReceiver.bind(this.loop, this.settings.host(), this.settings.peerPort()))
@@ -240,6 +243,7 @@
 	 */
 	public CompletableFuture<Void> shutDown() {
 		this.shuttingDown = true;
+		long signalNanos = System.nanoTime();
 		this.loop.execute(() -> {
 			if (this.shutdownWindow != null) {
 				return;
@@ -247,16 +251,40 @@
 			this.ready = false;
 			this.registration.stop();
 			long drainMs = (long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO);
-			this.shutdownWindow = new ShutdownWindow(System.nanoTime() + drainMs * NANOS_PER_MS);
-			this.loop.schedule(() -> {
-				this.draining = true;
-				List.copyOf(this.connections).forEach(GatewayConnection::drain);
-			}, BALANCER_LAG_MS, TimeUnit.MILLISECONDS);
-			this.loop.schedule(this::endOpenRequests, drainMs, TimeUnit.MILLISECONDS);
+			ShutdownWindow window = new ShutdownWindow(signalNanos + BALANCER_LAG_MS * NANOS_PER_MS,
+					signalNanos + drainMs * NANOS_PER_MS);
+			this.shutdownWindow = window;
+			this.loop.schedule(this::continueStop, window.drainNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
+			this.loop.schedule(this::continueStop, window.endNanos() - System.nanoTime(), TimeUnit.NANOSECONDS);
 		});
 		return this.shutdownComplete;
 	}
 
+	private void continueStop() {
+		ShutdownWindow window = this.shutdownWindow;
+		Channel port = this.callerPort;
+		if (window == null || this.ending) {
+			return;
+		}
+		long now = System.nanoTime();
+		List.copyOf(this.connections)
+			.stream()
+			.filter((each) -> window.closesIdle(each.openedNanos(), now))
+			.forEach(GatewayConnection::drain);
+		boolean admitted = !this.requests.isEmpty() || this.connections.stream()
+			.anyMatch((each) -> each.busy() && window.servesConnection(each.openedNanos()));
+		boolean accepting = port != null && port.isOpen();
+		boolean open = this.connections.stream()
+			.anyMatch((each) -> each.busy() || !window.servesConnection(each.openedNanos()));
+		switch (window.nextStep(now, new ShutdownWindow.Open(admitted, accepting, open))) {
+			case STOP_ACCEPTING -> Objects.requireNonNull(port).close();
+			case END -> this.shutdownComplete.complete(null);
+			case END_OPEN_REQUESTS -> endOpenRequests();
+			case GO_ON -> {
+			}
+		}
+	}
+
 	private void endOpenRequests() {
 		this.ending = true;
 		List.copyOf(this.connections).forEach(GatewayConnection::processEnding);
@@ -328,13 +356,11 @@
 	}
 
 	/**
-	 * Returns whether a request ends before this process does.
-	 * @param deadlineNanos monotonic time at which the request ends at the latest
-	 * @return true unless this process is stopping and may end before
+	 * Returns what this process decides while it is being stopped.
+	 * @return the decisions, empty before the stop signal
 	 */
-	boolean outlasts(long deadlineNanos) {
-		ShutdownWindow window = this.shutdownWindow;
-		return window == null || window.admits(deadlineNanos);
+	Optional<ShutdownWindow> shutdownWindow() {
+		return Optional.ofNullable(this.shutdownWindow);
 	}
 
 	long viewAgeMs() {
@@ -443,9 +469,6 @@
 
 	void connectionOpened(GatewayConnection connection) {
 		this.connections.add(connection);
-		if (this.draining) {
-			connection.drain();
-		}
 	}
 
 	void connectionClosed(GatewayConnection connection) {
@@ -509,9 +532,7 @@
 			List.copyOf(this.connections).forEach((connection) -> connection.checkTimeouts(limits, now));
 			this.targetPool.sweep();
 		}
-		if (this.draining && this.requests.isEmpty() && this.connections.stream().noneMatch(GatewayConnection::busy)) {
-			this.shutdownComplete.complete(null);
-		}
+		continueStop();
 	}
 
 	private void changed(String kind, String detail) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -37,6 +37,7 @@
 import org.baobabknot.fleet.CallerLimits;
 import org.baobabknot.httpclient.HttpHeader;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.placement.ShutdownWindow;
 import org.baobabknot.provider.PlatformHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -87,7 +88,9 @@
 
 	private boolean draining;
 
-	private long idleSinceNanos = System.nanoTime();
+	private final long openedNanos = System.nanoTime();
+
+	private long idleSinceNanos = this.openedNanos;
 
 	private long headStartNanos;
 
@@ -251,6 +254,10 @@
 				&& !this.closing && !this.discarding;
 	}
 
+	long openedNanos() {
+		return this.openedNanos;
+	}
+
 	/**
 	 * Ends the open request, or the one that is being received, because this process
 	 * ends.
@@ -310,6 +317,14 @@
 			reject(bodyTooLong());
 			return;
 		}
+		boolean refused = this.gateway.shutdownWindow()
+			.filter((window) -> !window.servesConnection(this.openedNanos))
+			.isPresent();
+		if (refused) {
+			reject(ErrorResponse.notRun("stopping", ShutdownWindow.Arrival.TOO_LATE.refusal(),
+					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(httpRequest)) {
 			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -20,7 +20,9 @@
 import org.baobabknot.placement.PlacementResult;
 import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.placement.ShutdownWindow;
 import org.baobabknot.placement.TrialPlacement;
+import org.baobabknot.placement.UnfinishedRequest;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
@@ -114,9 +116,11 @@
 		long timeoutMs = admitted.route().timeoutMs();
 		long remainingMs = (this.head.timeoutMs() >= 0) ? Math.min(this.head.timeoutMs(), timeoutMs) : timeoutMs;
 		this.deadlineNanos = this.arrivedNanos + remainingMs * NANOS_PER_MS;
-		if (!this.gateway.outlasts(this.deadlineNanos)) {
-			sendError(ErrorResponse.notRun("stopping", "this process may end before the request",
-					retryAfterMs(RetryAfter.ELSEWHERE, 0)));
+		ShutdownWindow.Arrival arrival = this.gateway.shutdownWindow()
+			.map((window) -> window.arrival(this.connection.openedNanos(), this.deadlineNanos))
+			.orElse(ShutdownWindow.Arrival.ADMITTED);
+		if (!arrival.admitted()) {
+			sendError(ErrorResponse.notRun("stopping", arrival.refusal(), retryAfterMs(RetryAfter.ELSEWHERE, 0)));
 			return;
 		}
 		this.gateway.requestAdmitted(this, admitted.service().name());
@@ -527,18 +531,18 @@
 		if (attempt != null) {
 			attempt.cancel(reason);
 		}
-		if (this.stream.started()) {
-			finish("stream-broken", attempt, reason);
-			this.connection.abort();
-		}
-		else if (this.mayHaveRun || attemptInFlight) {
-			boolean deadlinePassed = System.nanoTime() >= this.deadlineNanos;
-			sendError(ErrorResponse.unknownOutcome(
-					(deadlinePassed) ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
-					"outcome-unknown", reason));
-		}
-		else {
-			sendError(ErrorResponse.notRun("unavailable", reason, retryAfterMs(RetryAfter.LATER, 0)));
+		switch (UnfinishedRequest.of(this.mayHaveRun || attemptInFlight, this.stream.started())) {
+			case RESPONSE_STARTED -> {
+				finish("stream-broken", attempt, reason);
+				this.connection.abort();
+			}
+			case MAY_HAVE_RUN -> {
+				boolean deadlinePassed = System.nanoTime() >= this.deadlineNanos;
+				sendError(ErrorResponse.unknownOutcome(
+						(deadlinePassed) ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+						"outcome-unknown", reason));
+			}
+			case NOT_RUN -> sendError(ErrorResponse.notRun("unavailable", reason, retryAfterMs(RetryAfter.LATER, 0)));
 		}
 	}
 
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
@@ -105,6 +105,45 @@
 
 	}
 
+	/**
+	 * Connections that were accepted while a gateway drained were closed without a byte.
+	 */
+	@Nested
+	class LateConnections {
+
+		private EmulatedCaller callLate(String request) throws Exception {
+			EmulatedCaller open = GatewayStopTests.this.fixture.caller();
+			open.send(stream("open"));
+			Thread.sleep(100);
+			GatewayStopTests.this.fixture.gateway().shutDown();
+			Thread.sleep(DRAIN_START_MS + 200);
+			EmulatedCaller late = GatewayStopTests.this.fixture.caller();
+			late.send(request);
+			return late;
+		}
+
+		@Test
+		void areToldThatTheirRequestHasNotRun() throws Exception {
+			try (EmulatedCaller caller = callLate(order("r1"))) {
+				EmulatedCaller.Response response = caller.readResponse();
+				assertThat(response.status(), is(503));
+				assertThat(response.headers().get("connection"), is("close"));
+				assertThat(response.headers().containsKey("retry-after"), is(true));
+				assertThat(GatewayStopTests.this.plain.receivedRequests().isEmpty(), is(true));
+			}
+		}
+
+		@Test
+		void areNotAskedForABody() throws Exception {
+			try (EmulatedCaller caller = callLate(
+					order("r1").replace("Content-Length", "Expect: 100-continue\r\nContent-Length")
+						.replace("\r\n\r\norder", "\r\n\r\n"))) {
+				assertThat(caller.readResponse().status(), is(503));
+			}
+		}
+
+	}
+
 	/**
 	 * Idle connections were closed with a request in the buffers of the kernel.
 	 */
