Answer each request that arrives with others on a late connection

A late request that has arrived as a whole is now refused like any other, and one that hasn't after the current read, before its body. areToldSoForEachOfTheirRequests was written with the change.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -321,8 +321,8 @@
 			.filter((window) -> !window.servesConnection(this.openedNanos))
 			.isPresent();
 		if (refused) {
-			reject(ErrorResponse.notRun("stopping", ShutdownWindow.Arrival.TOO_LATE.refusal(),
-					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
+			// Requests that have arrived as a whole get a response each.
+			channelContext().executor().execute(() -> refuseIncomplete(httpRequest));
 			return;
 		}
 		if (HttpUtil.is100ContinueExpected(httpRequest)) {
@@ -331,6 +331,13 @@
 		}
 	}
 
+	private void refuseIncomplete(HttpRequest httpRequest) {
+		if (this.head == httpRequest && !this.closing) {
+			reject(ErrorResponse.notRun("stopping", ShutdownWindow.Arrival.TOO_LATE.refusal(),
+					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
+		}
+	}
+
 	private static ErrorResponse malformedHead(Throwable cause) {
 		HttpResponseStatus status = (cause instanceof TooLongHttpHeaderException
 				|| cause instanceof TooLongHttpLineException) ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayStopTests.java
@@ -133,6 +133,16 @@
 			}
 		}
 
+		@Test
+		void areToldSoForEachOfTheirRequests() throws Exception {
+			try (EmulatedCaller caller = callLate(order("r1") + order("r2"))) {
+				assertThat(caller.readResponse().status(), is(503));
+				EmulatedCaller.Response second = caller.readResponse();
+				assertThat(second.status(), is(503));
+				assertThat(second.headers().get("connection"), is("close"));
+			}
+		}
+
 		@Test
 		void areNotAskedForABody() throws Exception {
 			try (EmulatedCaller caller = callLate(
