--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -18,6 +18,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -38,6 +39,7 @@
 import org.baobabknot.fleet.CallerLimits;
 import org.baobabknot.httpclient.HttpHeader;
 import org.baobabknot.placement.RetryAfter;
+import org.baobabknot.placement.ShutdownWindow;
 import org.baobabknot.provider.PlatformHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -88,7 +90,9 @@
 
 	private boolean draining;
 
-	private long idleSinceNanos = System.nanoTime();
+	private final long openedNanos = System.nanoTime();
+
+	private long idleSinceNanos = this.openedNanos;
 
 	private long headStartNanos;
 
@@ -123,6 +127,10 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.closing) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
 		this.idleSinceNanos = System.nanoTime();
 		if (this.request != null || !this.pipelined.isEmpty()) {
 			if (!this.pipelined.add(message)) {
@@ -201,7 +209,7 @@
 			}
 		}
 		else if (idleMs > limits.idleTimeoutMs()) {
-			closeAfterWrites();
+			closeIfUnused();
 		}
 	}
 
@@ -218,15 +226,43 @@
 		}
 	}
 
+	private long unwrittenBytes() {
+		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
+		return (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+	}
+
 	/**
 	 * Closes the connection after the open request.
 	 */
 	void drain() {
 		this.draining = true;
-		if (this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete
-				&& !this.closing) {
-			closeAfterWrites();
-		}
+		if (isUnused()) {
+			closeIfUnused();
+		}
+	}
+
+	// A request that has arrived while the loop was busy is read first. One that crosses
+	// the close is not read, so that its caller can send it again.
+	private void closeIfUnused() {
+		channelContext().executor().schedule(() -> {
+			if (isUnused()) {
+				if (unwrittenBytes() > 0) {
+					closeAfterWrites();
+				}
+				else {
+					close();
+				}
+			}
+		}, READ_CYCLE_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private boolean isUnused() {
+		return this.request == null && this.head == null && this.pipelined.isEmpty() && !this.headIncomplete
+				&& !this.closing && !this.discarding;
+	}
+
+	long openedNanos() {
+		return this.openedNanos;
 	}
 
 	/**
@@ -256,19 +292,13 @@
 		}
 	}
 
-	private long unwrittenBytes() {
-		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
-		return (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
-	}
-
 	/**
 	 * Tells whether a request is open or being received, or a response is not yet passed
 	 * to the network, so that the end of this process would cut it off.
 	 * @return false if the connection is idle
 	 */
 	boolean busy() {
-		return this.request != null || this.head != null || this.headIncomplete || !this.pipelined.isEmpty()
-				|| this.closing || this.discarding;
+		return !isUnused();
 	}
 
 	private void handle(Object message) {
@@ -310,12 +340,27 @@
 			reject(bodyTooLong());
 			return;
 		}
+		boolean refused = this.gateway.shutdownWindow()
+			.filter((window) -> !window.servesConnection(this.openedNanos))
+			.isPresent();
+		if (refused) {
+			// Requests that have arrived as a whole get a response each.
+			channelContext().executor().execute(() -> refuseIncomplete(httpRequest));
+			return;
+		}
 		if (HttpUtil.is100ContinueExpected(httpRequest)) {
 			write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
 					Unpooled.EMPTY_BUFFER));
 		}
 	}
 
+	private void refuseIncomplete(HttpRequest httpRequest) {
+		if (this.head == httpRequest && !this.closing) {
+			reject(ErrorResponse.notRun("stopping", ShutdownWindow.Arrival.TOO_LATE.refusal(),
+					this.gateway.retryAfterMs(RetryAfter.ELSEWHERE, 0, -1)));
+		}
+	}
+
 	private static ErrorResponse malformedHead(Throwable cause) {
 		HttpResponseStatus status = (cause instanceof TooLongHttpHeaderException
 				|| cause instanceof TooLongHttpLineException) ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -336,7 +381,7 @@
 		}
 		if (this.discarding || httpRequest == null) {
 			if (last && this.discarding) {
-				close();
+				closeAfterWrites();
 			}
 			return;
 		}
@@ -536,7 +581,7 @@
 			linger();
 			return;
 		}
-		if (!this.keepAlive || this.draining) {
+		if (!this.keepAlive || (this.draining && this.pipelined.isEmpty())) {
 			closeAfterWrites();
 			return;
 		}
@@ -561,7 +606,8 @@
 	}
 
 	private void setConnectionHeader(HttpResponse response) {
-		if (this.draining || this.gateway.draining()) {
+		// A request that was read after this one still gets a response here.
+		if ((this.draining || this.gateway.draining()) && this.pipelined.isEmpty()) {
 			this.keepAlive = false;
 		}
 		if (!this.keepAlive) {
@@ -586,13 +632,21 @@
 		channelContext().close();
 	}
 
+	// Bytes of the caller that arrive after a close reset the connection and may destroy
+	// the end of the response, so they are read until the caller closes too.
 	private void closeAfterWrites() {
 		this.closing = true;
 		channelContext().writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) (written) -> {
-			if (written.isSuccess() && this.resetsOnClose && written.channel().isActive()) {
-				written.channel().config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
+			if (!written.isSuccess() || !(written.channel() instanceof DuplexChannel channel)) {
+				written.channel().close();
+				return;
+			}
+			if (this.resetsOnClose && channel.isActive()) {
+				channel.config().setOption(ChannelOption.SO_LINGER, NO_LINGER);
 			}
-			written.channel().close();
+			channel.config().setAutoRead(true);
+			channel.shutdownOutput();
+			channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 		});
 	}
 
