Return an engine's refusal of an invalid request unchanged

A caller that sends no id made targets look full to everyone: the engine's 400 with its statement that it has not run the request was taken for that of a full engine, the request went on to the next targets, and each counted twice its slots as load.

A refusal with status 400 is about the request: it is returned as it is and counts as no load. LateAnswerTests.doNotCountAsLoadOfTheirTarget failed before (503 in place of 400) and passes.

--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.httpclient.HttpExchange;
 import org.baobabknot.httpclient.HttpFailure;
@@ -254,7 +255,11 @@
 	}
 
 	private void ended(TargetResponseHead completedResponse, ResponseHead completedHead) {
-		if (completedResponse.notRun()) {
+		if (completedResponse.notRun() && completedResponse.status() == HttpResponseStatus.BAD_REQUEST.code()) {
+			// The request is at fault, so any other target would refuse it too.
+			responseEnded(completedResponse, completedHead);
+		}
+		else if (completedResponse.notRun()) {
 			if (completedResponse.misdirected()) {
 				this.request.attemptNotRun(this, "another-target", NotRunCause.NOT_DELIVERED);
 			}
--- a/daemon/src/test/java/org/baobabknot/gateway/LateAnswerTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LateAnswerTests.java
@@ -2,6 +2,7 @@
 
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedEngine;
+import org.baobabknot.placement.TargetLoad;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 /**
@@ -64,6 +66,25 @@
 
 	}
 
+	/**
+	 * A request without an id made its target look full, so that others were refused.
+	 */
+	@Nested
+	class InvalidRequests {
+
+		@Test
+		void doNotCountAsLoadOfTheirTarget() throws Exception {
+			start("plain", "");
+			assertThat(callWithoutId("POST").status(), is(400));
+			Gateway gateway = LateAnswerTests.this.fixture.gateway();
+			TargetLoad load = gateway.loop()
+				.submit(() -> gateway.pooledTarget(gateway.view().target("t1").orElseThrow()).load())
+				.get();
+			assertThat(load.estimatedRequests(System.nanoTime()), lessThan(1.0));
+		}
+
+	}
+
 	/**
 	 * True refusals without an id ended as unknown outcomes, which callers may not
 	 * repeat.
