Give a silent response up only for another target

A stream whose engine paused was cut while no other target could go on with it: after 0.5 s of silence its attempt was cancelled, and then its continuation refused ('all targets are busy'). Cause: silence was taken as a proof that the target had failed.

A silent attempt is now only cancelled if the budget has a retry and a target is chosen for it; else the request waits on, until its deadline or the next check.

--- a/core/src/main/java/org/baobabknot/retry/FleetRetryBudget.java
+++ b/core/src/main/java/org/baobabknot/retry/FleetRetryBudget.java
@@ -57,7 +57,22 @@
 	 * @return whether the retry is allowed
 	 */
 	public boolean tryWithdraw(int processes, long nowNanos) {
-		int currentIndex = advanceTo(nowNanos);
+		boolean allowed = allows(processes, nowNanos);
+		if (allowed) {
+			this.retriesByInterval[advanceTo(nowNanos)]++;
+		}
+		return allowed;
+	}
+
+	/**
+	 * Returns whether the budget has a retry, without taking it.
+	 * @param processes number of processes that share the fixed number of retries, at
+	 * least 1
+	 * @param nowNanos monotonic time
+	 * @return whether a retry is allowed
+	 */
+	public boolean allows(int processes, long nowNanos) {
+		advanceTo(nowNanos);
 		int retries = 0;
 		// The oldest interval is partly outside of the window, so its retries are counted
 		// but its requests are not.
@@ -67,11 +82,7 @@
 			retries += this.retriesByInterval[index];
 			requests += this.requestsByInterval[index];
 		}
-		if (retries + 1 > this.ratio * requests + this.fixedRetries / processes) {
-			return false;
-		}
-		this.retriesByInterval[currentIndex]++;
-		return true;
+		return retries + 1 <= this.ratio * requests + this.fixedRetries / processes;
 	}
 
 	private int advanceTo(long nowNanos) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -170,18 +170,13 @@
 	}
 
 	private void startAttempt() {
-		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		ServiceDefinition service = admitted.service();
 		long now = System.nanoTime();
 		long remainingMs = (this.deadlineNanos - now) / NANOS_PER_MS;
 		if (remainingMs < MIN_ATTEMPT_MS) {
 			giveUp("no time is left");
 			return;
 		}
-		PlacementResult result = this.gateway.selection()
-			.choose(new TargetSelection.Query(service, this.head.model(), admitted.regions(), this.triedTargets,
-					trialPlacement(), this.screening.suspectedContents()),
-					estimate(admitted.route(), service, now, remainingMs));
+		PlacementResult result = chooseTarget(now);
 		if (result instanceof PlacementResult.TargetChosen chosen) {
 			send(chosen, remainingMs, now);
 		}
@@ -193,10 +188,19 @@
 					resting.waitMs());
 		}
 		else {
-			giveUp("no target of " + service.name() + " is available");
+			giveUp("no target of " + service().name() + " is available");
 		}
 	}
 
+	private PlacementResult chooseTarget(long now) {
+		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
+		ServiceDefinition service = admitted.service();
+		return this.gateway.selection()
+			.choose(new TargetSelection.Query(service, this.head.model(), admitted.regions(), this.triedTargets,
+					trialPlacement(), this.screening.suspectedContents()),
+					estimate(admitted.route(), service, now, (this.deadlineNanos - now) / NANOS_PER_MS));
+	}
+
 	private TrialPlacement trialPlacement() {
 		if (this.screening.onTrial()) {
 			return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
@@ -482,13 +486,21 @@
 		if (targetSilent) {
 			attempt.load().avoid(now);
 		}
-		if (targetSilent || silence.isResponseStalled(now)) {
+		// Silence doesn't show that the target has failed, so its response is only given
+		// up
+		// for another target.
+		if ((targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
 			attempt.cancel("silent");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
 					"nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms"));
 		}
 	}
 
+	private boolean canContinueElsewhere(long now) {
+		return hasTimeToRetry() && this.gateway.traffic().allowsRetry(service().name(), now)
+				&& chooseTarget(now) instanceof PlacementResult.TargetChosen;
+	}
+
 	/**
 	 * Called when the connection of the caller has ended.
 	 * @param detail what ended it, empty for a close by the caller
--- a/daemon/src/main/java/org/baobabknot/gateway/ServiceTraffic.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/ServiceTraffic.java
@@ -64,6 +64,16 @@
 		return retryBudget(service).tryWithdraw(this.view.limitDivisor(), nowNanos);
 	}
 
+	/**
+	 * Returns whether the budget of a service has a retry, without taking it.
+	 * @param service name of the service
+	 * @param nowNanos monotonic time
+	 * @return whether a retry is allowed
+	 */
+	boolean allowsRetry(String service, long nowNanos) {
+		return retryBudget(service).allows(this.view.limitDivisor(), nowNanos);
+	}
+
 	private FleetRetryBudget retryBudget(String service) {
 		return this.budgets.computeIfAbsent(service,
 				(name) -> new FleetRetryBudget(this.bounds.retryRatio() * RETRY_BUDGET_RATIO,
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
@@ -192,6 +192,18 @@
 			GatewayFixture.await(() -> first.runningRequests() == 0);
 		}
 
+		// Guards against giving up a stream that pauses when no other target can go on.
+		@Test
+		void aSilentStreamIsNotCutWithoutAnotherTarget() throws Exception {
+			EmulatedEngine engine = addModelTarget("t1", "a");
+			engine.eventIntervalMs = 1_100;
+			engine.eventsPerStream = 3;
+			GatewayTests.this.fixture.start();
+			EmulatedCaller.Response response = GatewayTests.this.fixture.callStream("r1");
+			assertThat(response.complete(), is(true));
+			assertThat(response.body(), is(eventText(0, 3)));
+		}
+
 		@Test
 		void aSlowStreamIsNotCut() throws Exception {
 			addModelTarget("t1", "a").eventIntervalMs = 450;
