Ask gateways whether they are ready in the stops experiment

The experiment asks /readyz, prints its failures, and prints requests that were closed on kept connections.

--- a/benchmarks/src/main/java/org/baobabknot/stops/StopSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/stops/StopSite.java
@@ -1,5 +1,6 @@
 package org.baobabknot.stops;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.baobabknot.daemon.FleetProcess;
+import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedConfiguration;
 import org.baobabknot.emulator.EmulatedEngine;
 import org.baobabknot.emulator.EmulatedStore;
@@ -118,7 +120,7 @@
 	 */
 	LaunchedProcess start(int gateway) throws InterruptedException {
 		LaunchedProcess process = startProcess(gateway);
-		awaitReady(process);
+		awaitReady(gateway, process);
 		return process;
 	}
 
@@ -212,9 +214,11 @@
 				List.of("--settings", this.launcher.writeJson(name + ".json", settings).toString()));
 	}
 
-	private static void awaitReady(LaunchedProcess process) throws InterruptedException {
+	// Asks the process, because the line about it may be suppressed at a start with many
+	// lines.
+	private void awaitReady(int gateway, LaunchedProcess process) throws InterruptedException {
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
-		while (!process.logText().contains("\"ready\":\"true\"")) {
+		while (!isReady(gateway)) {
 			if (System.nanoTime() > deadlineNanos) {
 				throw new IllegalStateException(process.name() + " was not ready in time: " + process.logText());
 			}
@@ -222,6 +226,15 @@
 		}
 	}
 
+	private boolean isReady(int gateway) {
+		try (EmulatedCaller caller = new EmulatedCaller(this.ports.get(2 + gateway * PORTS_PER_GATEWAY))) {
+			return caller.sendAndRead("GET", "/readyz", "ready", "", "").status() == 200;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	@Override
 	public void close() {
 		this.engines.forEach(EmulatedEngine::close);
--- a/benchmarks/src/main/java/org/baobabknot/stops/StopTally.java
+++ b/benchmarks/src/main/java/org/baobabknot/stops/StopTally.java
@@ -24,7 +24,7 @@
 
 	private final Map<String, TargetRun> runs;
 
-	private final List<String> lostLines = new ArrayList<>();
+	private final List<String> lines = new ArrayList<>();
 
 	private final List<Long> durationsMs = new ArrayList<>();
 
@@ -73,7 +73,10 @@
 		}
 		else if (!passedOn(request) && !late(request)) {
 			this.closed++;
-			this.closedKept += (request.newConnection) ? 0 : 1;
+			if (!request.newConnection) {
+				this.closedKept++;
+				this.lines.add(describe("closed", stop, request));
+			}
 		}
 		else if (request.deadlineReached()) {
 			this.deadline++;
@@ -107,21 +110,25 @@
 		else {
 			this.lost++;
 		}
-		this.lostLines.add(String.format(
-				"lost: %s %s %s, %s connection, sent %d ms and ended %d ms after SIGTERM, %s, %s; %s, end after %d ms",
-				request.id, request.kind, request.framing, (request.newConnection) ? "new" : "kept",
+		this.lines.add(describe("lost", stop, request));
+		stop.log().lines().filter((line) -> line.contains(request.id)).forEach(this.lines::add);
+	}
+
+	private String describe(String what, StopRecord stop, StopRequest request) {
+		return String.format(
+				"%s: %s %s %s, %s connection, sent %d ms and ended %d ms after SIGTERM, %s, %s; %s, end after %d ms",
+				what, request.id, request.kind, request.framing, (request.newConnection) ? "new" : "kept",
 				ms(request.sentNanos - stop.signalNanos()), ms(request.endedNanos - stop.signalNanos()),
 				(passedOn(request)) ? "passed on" : "not passed on", request.response, stop.plan(),
-				ms(stop.endNanos() - stop.signalNanos())));
-		stop.log().lines().filter((line) -> line.contains(request.id)).forEach(this.lostLines::add);
+				ms(stop.endNanos() - stop.signalNanos()));
 	}
 
 	private static long ms(long nanos) {
 		return TimeUnit.NANOSECONDS.toMillis(nanos);
 	}
 
-	List<String> lostLines() {
-		return this.lostLines;
+	List<String> lines() {
+		return this.lines;
 	}
 
 	boolean nothingLost() {
--- a/benchmarks/src/main/java/org/baobabknot/stops/StopsExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/stops/StopsExperiment.java
@@ -34,7 +34,7 @@
 	/** Longest pause between two events of a stream that is in time. */
 	private static final long PAUSE_OBJECTIVE_MS = 200;
 
-	private static final int MAX_REPORTED = 60;
+	private static final int MAX_REPORTED = 400;
 
 	@Override
 	public void declare(OptionParser parser) {
@@ -108,7 +108,7 @@
 			StopTally tally = new StopTally(site.runs());
 			List<StopRequest> all = List.copyOf(requests);
 			records.forEach((record) -> tally.add(record, all));
-			tally.lostLines().stream().limit(MAX_REPORTED).forEach((line) -> context.report("%s", line));
+			tally.lines().stream().limit(MAX_REPORTED).forEach((line) -> context.report("%s", line));
 			ObjectNode figures = tally.figures().put("seed", seed);
 			if (outlasting) {
 				addResumed(figures, List.copyOf(resumed));
@@ -118,7 +118,6 @@
 		finally {
 			running.set(false);
 			threads.shutdownNow();
-			context.launcher().stopAll();
 		}
 	}
 
