--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.baobabknot.emulator.EmulatedEngine;
-import org.baobabknot.emulator.EmulatedEngine.EngineEvent;
-import org.baobabknot.emulator.EmulatedEngine.EventKind;
+import org.baobabknot.emulator.EngineBehavior.EngineEvent;
+import org.baobabknot.emulator.EngineBehavior.EventKind;
 
 /**
  * Checks the rules on the history of a soak.
