--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakCaller.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakCaller.java
@@ -5,32 +5,30 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 
-import org.baobabknot.emulator.EmulatedCaller;
+import org.baobabknot.emulator.CallerConnection;
+import org.baobabknot.emulator.CallerExchange;
+import org.baobabknot.emulator.CallerMessage;
+import org.baobabknot.emulator.EngineWork;
 import org.baobabknot.soak.SoakRequest.Kind;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A caller that uses each connection until its peer closes it, then another gateway.
  */
 final class SoakCaller implements Runnable {
 
-	/** Part of a prompt under which engines crash. */
-	static final String DEADLY_PART = "dead1";
-
-	/** Header that names the gateway, which targets get unchanged. */
-	static final String GATEWAY_HEADER = "X-Gateway";
+	private static final int MAX_PAUSE_MS = 60;
 
-	private static final String SHARED_PART = "50d1";
+	/**
+	 * Longest time until the next request after one that got no response or a refusal.
+	 */
+	private static final int REFUSED_PAUSE_MS = 400;
 
-	private static final String MODEL = "model";
+	private static final int STATUS_UNAVAILABLE = 503;
 
-	private static final int DEADLINE_MS = 4_000;
+	private static final double HTTP10_RATIO = 0.25;
 
-	private static final int MAX_PAUSE_MS = 60;
-
-	private static final double DEADLY_RATIO = 0.1;
+	private static final double SLOW_READER_RATIO = 0.12;
 
 	private final int number;
 
@@ -38,87 +36,90 @@
 
 	private final SplittableRandom random;
 
+	private final SoakLoad load;
+
 	private final BooleanSupplier running;
 
-	private final BooleanSupplier sendsDeadlyPart;
+	private final SoakSite site;
 
-	private final Consumer<SoakRequest> results;
+	private final SoakHistory history;
 
 	private int requests;
 
-	SoakCaller(int number, List<Integer> ports, long seed, BooleanSupplier running, BooleanSupplier sendsDeadlyPart,
-			Consumer<SoakRequest> results) {
+	SoakCaller(int number, long seed, BooleanSupplier running, SoakSite site, SoakHistory history) {
 		this.number = number;
-		this.ports = ports;
+		this.ports = site.callerPorts();
 		this.random = new SplittableRandom(seed);
+		this.load = new SoakLoad(this.random, site.maxPauseMs());
 		this.running = running;
-		this.sendsDeadlyPart = sendsDeadlyPart;
-		this.results = results;
+		this.site = site;
+		this.history = history;
 	}
 
 	@Override
 	public void run() {
 		while (this.running.getAsBoolean()) {
 			int gateway = this.random.nextInt(this.ports.size());
-			try (EmulatedCaller connection = new EmulatedCaller(this.ports.get(gateway))) {
+			boolean http10 = this.load.draws(HTTP10_RATIO);
+			boolean readsSlowly = this.load.draws(SLOW_READER_RATIO);
+			try (CallerConnection connection = new CallerConnection(this.ports.get(gateway), readsSlowly)) {
 				boolean open = true;
 				while (open && this.running.getAsBoolean()) {
-					open = send(connection, gateway);
-					pause();
+					SoakRequest request = send(connection, gateway, http10, readsSlowly);
+					pause(MAX_PAUSE_MS);
+					open = isReusable(request) && nothingArrived(connection, request);
+					if (request.unanswered() || request.status() == STATUS_UNAVAILABLE) {
+						pause(REFUSED_PAUSE_MS);
+					}
 				}
 			}
 			catch (IOException ex) {
 				// The gateway is down: the next connection goes to any of them.
-				pause();
+				pause(REFUSED_PAUSE_MS);
 			}
 		}
 	}
 
-	private void pause() {
+	private void pause(int ms) {
 		try {
-			TimeUnit.MILLISECONDS.sleep(this.random.nextInt(MAX_PAUSE_MS));
+			TimeUnit.MILLISECONDS.sleep(this.random.nextInt(ms));
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
-	private boolean send(EmulatedCaller connection, int gateway) {
-		Kind kind = nextKind();
+	private SoakRequest send(CallerConnection connection, int gateway, boolean http10, boolean readsSlowly) {
+		Kind kind = this.load.drawKind(this.site.sendsDeadlyPart());
 		String id = String.format("%08x%08x", this.number, ++this.requests);
-		String headers = EmulatedCaller.deadlineHeader(DEADLINE_MS) + GATEWAY_HEADER + ": " + gateway + "\r\n";
-		if (kind.isStream()) {
-			headers += EmulatedCaller.modelHeaders(MODEL, 200, 30) + promptHeader(kind, id);
-		}
-		long sentNanos = System.nanoTime();
-		EmulatedCaller.@Nullable Response response = null;
-		try {
-			response = connection.sendAndRead("POST", kind.path(), id, headers, "body of " + id);
-		}
-		catch (IOException ex) {
-			// Recorded as a request without a response.
-		}
-		int status = (response != null) ? response.status() : 0;
-		boolean complete = response != null && response.complete();
-		String body = (response != null) ? response.body() : "";
-		this.results.accept(new SoakRequest(id, kind, gateway, sentNanos, status, complete, body));
-		return complete && response != null
-				&& !response.headers().getOrDefault("connection", "").equalsIgnoreCase("close");
+		EngineWork work = this.load.drawWork(kind, readsSlowly, this.site.isCalm());
+		int timeoutMs = this.load.drawTimeoutMs(work);
+		CallerMessage message = this.load.drawMessage(id, kind, gateway, work, timeoutMs, http10);
+		CallerExchange exchange = connection.exchange(message);
+		SoakRequest request = new SoakRequest(id, kind, gateway, work, timeoutMs, readsSlowly, message, exchange);
+		this.history.add(request);
+		return request;
 	}
 
-	private static String promptHeader(Kind kind, String id) {
-		String own = id.substring(id.length() - 6);
-		return (kind != Kind.DEADLY_TEXT) ? EmulatedCaller.promptHeader(SHARED_PART, own)
-				: EmulatedCaller.promptHeader(SHARED_PART, DEADLY_PART, own);
+	private static boolean isReusable(SoakRequest request) {
+		CallerExchange exchange = request.exchange();
+		String connection = exchange.headers().getOrDefault("connection", "");
+		boolean kept = (request.message().http10()) ? connection.equalsIgnoreCase("keep-alive")
+				: !connection.equalsIgnoreCase("close");
+		boolean framed = exchange.headers().containsKey("content-length")
+				|| (!request.message().http10() && exchange.headers().containsKey("transfer-encoding"));
+		return exchange.complete() && exchange.sentNanos() > 0 && kept && framed;
 	}
 
-	private Kind nextKind() {
-		boolean deadly = this.sendsDeadlyPart.getAsBoolean() && this.random.nextDouble() < DEADLY_RATIO;
-		return switch (this.random.nextInt(4)) {
-			case 0 -> Kind.ORDER;
-			case 1 -> Kind.READ;
-			default -> (deadly) ? Kind.DEADLY_TEXT : Kind.TEXT;
-		};
+	// A success, or bytes that are no response, may not arrive before the next request.
+	private boolean nothingArrived(CallerConnection connection, SoakRequest last) throws IOException {
+		String text = connection.unsolicited();
+		if (!text.isEmpty() && !text.matches("(?s)HTTP/1\\.[01] [3-5].*")) {
+			this.history.addViolation(new SoakViolation(
+					"bytes without a request arrived after " + last.describe() + ": " + SoakViolation.shorten(text),
+					last));
+		}
+		return text.isEmpty();
 	}
 
 }
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
@@ -1,13 +1,13 @@
 package org.baobabknot.soak;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.emulator.CallerExchange;
 import org.baobabknot.emulator.EmulatedEngine;
 import org.baobabknot.emulator.EngineBehavior.EngineEvent;
 import org.baobabknot.emulator.EngineBehavior.EventKind;
@@ -37,57 +37,69 @@
 
 	private final SoakHistory history;
 
-	private final List<String> violations = new ArrayList<>();
+	private final TargetRecords targets;
+
+	private final List<SoakViolation> violations = new ArrayList<>();
+
+	private final StopChecks stopChecks;
 
 	SoakChecks(SoakHistory history) {
 		this.history = history;
+		this.targets = TargetRecords.of(history.engines());
+		this.stopChecks = new StopChecks(history, this.targets, this.violations::add);
+	}
+
+	/**
+	 * Returns the requests that stops have cut and that are not counted.
+	 * @return their number by reason
+	 */
+	Map<String, Integer> excusedCuts() {
+		return this.stopChecks.excused();
 	}
 
 	/**
 	 * Checks all rules.
-	 * @return one line for each violation
+	 * @return the violations
 	 */
-	List<String> run() {
+	List<SoakViolation> run() {
+		this.violations.addAll(this.history.violations());
 		List<EngineEvent> events = this.history.engines()
 			.stream()
 			.flatMap((engine) -> engine.events().stream())
 			.toList();
-		Map<String, Integer> starts = new HashMap<>();
-		events.stream()
-			.filter((event) -> event.kind() == EventKind.STARTED)
-			.forEach((event) -> starts.merge(event.requestId(), 1, Integer::sum));
-		Set<String> received = new HashSet<>();
-		events.stream()
-			.filter((event) -> event.kind() == EventKind.RECEIVED)
-			.forEach((event) -> received.add(event.requestId()));
-		this.history.requests().forEach((request) -> check(request, starts, received));
+		AnswerChecks answerChecks = new AnswerChecks(this.targets, this.violations::add);
+		for (SoakRequest request : this.history.requests()) {
+			checkRuns(request);
+			answerChecks.check(request);
+			this.stopChecks.check(request);
+		}
+		answerChecks.checkTargets(this.history.requests(), this.history.engines());
 		this.history.engines().forEach(this::checkStatements);
 		checkDeadlyPart(events);
 		return List.copyOf(this.violations);
 	}
 
-	private void check(SoakRequest request, Map<String, Integer> starts, Set<String> received) {
-		int runs = starts.getOrDefault(request.id(), 0);
+	private void checkRuns(SoakRequest request) {
+		int runs = this.targets.starts(request.id());
 		if (request.kind().runsAtMostOnce() && runs > 1) {
-			this.violations.add("order " + request.id() + " ran " + runs + " times");
+			add(request, "TWICE: " + request.describe() + " ran " + runs + " times");
 		}
 		if (request.kind().runsAtMostOnce() && runs > 0 && NOT_RUN_STATUSES.contains(request.status())) {
-			this.violations.add("order " + request.id() + " got " + request.status() + " and has run");
+			add(request, "REFUSED: " + request.describe() + " got " + request.status() + " and has run");
 		}
-		if (request.status() == 200 && !request.isRight()) {
-			this.violations.add(request.kind() + " " + request.id() + " got another body: " + request.body());
-		}
-		boolean cut = request.status() == 0 && received.contains(request.id());
-		if (cut && !disturbed(request.gateway(), request.sentNanos(), Long.MAX_VALUE, false)) {
-			this.violations.add(request.kind() + " " + request.id() + " was cut off without an answer by gateway "
-					+ request.gateway());
+		CallerExchange exchange = request.exchange();
+		if (request.unanswered() && this.targets.received(request.id())
+				&& !this.history.disturbed(request.gateway(), exchange.beginNanos(), exchange.endNanos(), false)) {
+			add(request, "LOST: " + request.describe() + " was cut off without an answer (" + exchange.end() + ")");
 		}
 	}
 
-	private boolean disturbed(int gateway, long fromNanos, long toNanos, boolean planned) {
-		return this.history.disturbances()
-			.stream()
-			.anyMatch((each) -> (planned || !each.planned()) && each.overlaps(gateway, fromNanos, toNanos));
+	private void add(SoakRequest request, String text) {
+		this.violations.add(new SoakViolation(text, request));
+	}
+
+	private boolean disturbed(int gateway, long fromNanos, long toNanos) {
+		return this.history.disturbed(gateway, fromNanos, toNanos, true);
 	}
 
 	private void checkStatements(EmulatedEngine engine) {
@@ -97,22 +109,31 @@
 				long from = event.nanos() + REST_DELAY_NANOS;
 				long to = event.nanos() + event.restNanos();
 				List<String> received = received(events, event.gateway(), from, to);
-				if (received.size() > MAX_REQUESTS_IN_REST && !disturbed(event.gateway(), event.nanos(), to, true)) {
-					this.violations.add(engine.id() + " got " + received + " of gateway " + event.gateway()
+				if (received.size() > MAX_REQUESTS_IN_REST && !disturbed(event.gateway(), event.nanos(), to)) {
+					addForTarget(event.requestId(), engine.id() + " got " + received + " of gateway " + event.gateway()
 							+ " in the rest that it asked for on " + event.requestId());
 				}
 			}
 			if (event.kind() == EventKind.LEAVING_STATED) {
 				long from = event.nanos() + DRAIN_NANOS;
 				List<String> received = received(events, event.gateway(), from, Long.MAX_VALUE);
-				if (!received.isEmpty() && !disturbed(event.gateway(), event.nanos(), Long.MAX_VALUE, true)) {
-					this.violations.add(engine.id() + " got " + received + " of gateway " + event.gateway()
+				if (!received.isEmpty() && !disturbed(event.gateway(), event.nanos(), Long.MAX_VALUE)) {
+					addForTarget(event.requestId(), engine.id() + " got " + received + " of gateway " + event.gateway()
 							+ " after it had stated on " + event.requestId() + " that it leaves");
 				}
 			}
 		}
 	}
 
+	private void addForTarget(String requestId, String text) {
+		SoakRequest request = this.history.requests()
+			.stream()
+			.filter((each) -> each.id().equals(requestId))
+			.findFirst()
+			.orElse(null);
+		this.violations.add(new SoakViolation(text, request));
+	}
+
 	private static List<String> received(List<EngineEvent> events, int gateway, long fromNanos, long toNanos) {
 		return events.stream()
 			.filter((event) -> event.kind() == EventKind.RECEIVED && event.gateway() == gateway
@@ -139,10 +160,10 @@
 		long count = events.stream()
 			.filter((event) -> event.kind() == EventKind.RECEIVED && event.nanos() > from
 					&& deadly.contains(event.requestId())
-					&& !disturbed(event.gateway(), event.nanos() - CONTACT_NANOS, event.nanos(), true))
+					&& !disturbed(event.gateway(), event.nanos() - CONTACT_NANOS, event.nanos()))
 			.count();
 		if (count > MAX_DEADLY_REQUESTS) {
-			this.violations.add(count + " requests with a deadly part reached engines 3 s after the fifth crash");
+			addForTarget("", count + " requests with a deadly part reached engines 3 s after the fifth crash");
 		}
 	}
 
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
@@ -1,6 +1,8 @@
 package org.baobabknot.soak;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.baobabknot.emulator.EmulatedEngine;
 
@@ -13,7 +15,44 @@
 	GATEWAY_STOPPED {
 		@Override
 		void inject(SoakSite site) throws InterruptedException {
-			site.restartGateway(site.draw(site.gateways()), true);
+			site.stopGateway(site.draw(site.gateways()), 0, 0);
+		}
+	},
+
+	/** Two gateways are stopped shortly one after the other. */
+	GATEWAYS_STOPPED_IN_SERIES {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			int first = site.draw(site.gateways());
+			int gapMs = 300 + site.draw(2_500);
+			Thread second = new Thread(() -> {
+				try {
+					pause(gapMs);
+					site.stopGateway((first + 1) % site.gateways(), 0, 0);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}, "second-stop");
+			second.start();
+			site.stopGateway(first, 0, 0);
+			second.join();
+		}
+	},
+
+	/** A gateway is stopped, signalled again and paused meanwhile. */
+	STOP_STALLED {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			site.stopGateway(site.draw(site.gateways()), site.draw(7_000), 50 + site.draw(850));
+		}
+	},
+
+	/** A gateway is paused for up to 0.9 s. */
+	GATEWAY_STALLED {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			site.pauseGateway(site.draw(site.gateways()), 50 + site.draw(850));
 		}
 	},
 
@@ -21,7 +60,7 @@
 	GATEWAY_KILLED {
 		@Override
 		void inject(SoakSite site) throws InterruptedException {
-			site.restartGateway(site.draw(site.gateways()), false);
+			site.killGateway(site.draw(site.gateways()));
 		}
 	},
 
@@ -86,12 +125,65 @@
 		@Override
 		void inject(SoakSite site) throws InterruptedException {
 			EmulatedEngine engine = site.drawEngine();
-			engine.endInsideEvent = 1 + site.draw(SoakRequest.EVENTS - 1);
+			engine.endInsideEvent = 1 + site.draw(4);
 			pause(500 + site.draw(1_500));
 			engine.endInsideEvent = 0;
 		}
 	},
 
+	/** Engines send each response a second time, up to 5 s later. */
+	ENGINES_REPEAT_LATE {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			int maxDelayMs = (site.draw(2) == 0) ? 20 : 5_000;
+			change(site, (engine) -> engine.maxDuplicateDelayMs = maxDelayMs,
+					(engine) -> engine.maxDuplicateDelayMs = 0);
+		}
+	},
+
+	/**
+	 * Engines send each plain response and refusal a second time before the next one.
+	 */
+	ENGINES_REPEAT_BEFORE_NEXT {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			change(site, (engine) -> engine.lateDuplicates = true, (engine) -> engine.lateDuplicates = false);
+		}
+	},
+
+	/** Engines send single bytes. */
+	ENGINES_SEND_SINGLE_BYTES {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			change(site, (engine) -> engine.sendsSingleBytes = true, (engine) -> engine.sendsSingleBytes = false);
+		}
+	},
+
+	/** Engines answer before they have read the body of a request. */
+	ENGINES_ANSWER_EARLY {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			int status = (site.draw(2) == 0) ? 500 : 503;
+			change(site, (engine) -> engine.earlyStatus = status, (engine) -> engine.earlyStatus = 0);
+		}
+	},
+
+	/** Engines close connections after some responses, as these state. */
+	ENGINES_CLOSE {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			change(site, (engine) -> engine.closeRatio = 0.3, (engine) -> engine.closeRatio = 0);
+		}
+	},
+
+	/** Engines send interim responses. */
+	ENGINES_SEND_INTERIM {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			change(site, (engine) -> engine.sendsInterim = true, (engine) -> engine.sendsInterim = false);
+		}
+	},
+
 	/** All connections of an engine are reset. */
 	CONNECTIONS_RESET {
 		@Override
@@ -125,6 +217,14 @@
 	 */
 	abstract void inject(SoakSite site) throws InterruptedException;
 
+	private static void change(SoakSite site, Consumer<EmulatedEngine> begin, Consumer<EmulatedEngine> end)
+			throws InterruptedException {
+		List<EmulatedEngine> engines = site.drawEngines();
+		engines.forEach(begin);
+		pause(1_000 + site.draw(4_000));
+		engines.forEach(end);
+	}
+
 	private static void pause(int ms) throws InterruptedException {
 		TimeUnit.MILLISECONDS.sleep(ms);
 	}
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakHistory.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakHistory.java
@@ -16,6 +16,8 @@
 
 	private final Queue<Disturbance> disturbances = new ConcurrentLinkedQueue<>();
 
+	private final Queue<SoakViolation> violations = new ConcurrentLinkedQueue<>();
+
 	private final List<EmulatedEngine> engines = new ArrayList<>();
 
 	void add(SoakRequest request) {
@@ -26,6 +28,10 @@
 		this.disturbances.add(disturbance);
 	}
 
+	void addViolation(SoakViolation violation) {
+		this.violations.add(violation);
+	}
+
 	synchronized void add(EmulatedEngine engine) {
 		this.engines.add(engine);
 	}
@@ -38,6 +44,27 @@
 		return List.copyOf(this.disturbances);
 	}
 
+	/**
+	 * Returns whether a gateway was disturbed.
+	 * @param gateway number of the gateway
+	 * @param fromNanos begin
+	 * @param toNanos end
+	 * @param planned whether stops with SIGTERM count
+	 * @return whether a disturbance overlaps that time
+	 */
+	boolean disturbed(int gateway, long fromNanos, long toNanos, boolean planned) {
+		return this.disturbances.stream()
+			.anyMatch((each) -> (planned || !each.planned()) && each.overlaps(gateway, fromNanos, toNanos));
+	}
+
+	/**
+	 * Returns the violations that callers saw at once.
+	 * @return the violations
+	 */
+	List<SoakViolation> violations() {
+		return List.copyOf(this.violations);
+	}
+
 	synchronized List<EmulatedEngine> engines() {
 		return List.copyOf(this.engines);
 	}
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakRequest.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakRequest.java
@@ -1,48 +1,80 @@
 package org.baobabknot.soak;
 
+import org.baobabknot.emulator.CallerExchange;
+import org.baobabknot.emulator.CallerExchange.End;
+import org.baobabknot.emulator.CallerMessage;
+import org.baobabknot.emulator.EngineWork;
+
 /**
  * A request of a caller and how it ended.
  *
- * @param id id of the request
+ * @param id id of the request, which a caller may keep to itself
  * @param kind kind of the request
  * @param gateway number of the gateway
- * @param sentNanos monotonic time at which it was sent
- * @param status status of the response, 0 if the connection ended without one
- * @param complete whether the response ended as its framing says
- * @param body body of the response
+ * @param work what the target is to send
+ * @param timeoutMs time that the caller and the route give it, in ms
+ * @param readsSlowly whether the caller reads slowly
+ * @param message the request as it was sent
+ * @param exchange what the caller has seen
  */
-record SoakRequest(String id, Kind kind, int gateway, long sentNanos, int status, boolean complete, String body) {
+record SoakRequest(String id, Kind kind, int gateway, EngineWork work, long timeoutMs, boolean readsSlowly,
+		CallerMessage message, CallerExchange exchange) {
+
+	boolean hasId() {
+		return !this.message.id().isEmpty();
+	}
+
+	int status() {
+		return this.exchange.status();
+	}
+
+	boolean complete() {
+		return this.exchange.complete();
+	}
 
-	/** Events of each stream. */
-	static final int EVENTS = 5;
+	boolean isSuccess() {
+		return status() >= 200 && status() < 300;
+	}
+
+	/**
+	 * Returns whether the caller has got no response though it waited for one.
+	 * @return false also for a caller that gave up
+	 */
+	boolean unanswered() {
+		return status() == 0 && this.exchange.end() != End.GAVE_UP;
+	}
 
 	/**
 	 * Returns whether the response is a success that belongs to this request and has no
-	 * bytes of an incomplete event.
+	 * bytes of an incomplete event. The buffers of a connection that is reset, or that a
+	 * slow caller has filled, may end anywhere.
 	 * @return whether the response is right
 	 */
 	boolean isRight() {
-		if (!this.kind.stream) {
-			return !this.complete || this.body.equals("answer to " + this.id);
+		String body = this.exchange.body();
+		String whole = (this.kind.stream) ? this.work.events(this.id, this.work.events())
+				: this.work.plainBody(this.id);
+		if (complete()) {
+			return body.equals(whole);
+		}
+		if (!this.kind.stream || this.message.http10() || this.readsSlowly) {
+			return whole.startsWith(body);
 		}
-		return (this.complete) ? this.body.equals(events(EVENTS)) : isWholeEvents();
+		return isWholeEvents(body);
 	}
 
-	private boolean isWholeEvents() {
-		for (int count = 0; count <= EVENTS; count++) {
-			if (this.body.equals(events(count))) {
+	private boolean isWholeEvents(String body) {
+		for (int count = 0; count <= this.work.events(); count++) {
+			if (body.equals(this.work.events(this.id, count))) {
 				return true;
 			}
 		}
 		return false;
 	}
 
-	private static String events(int count) {
-		StringBuilder text = new StringBuilder();
-		for (int number = 0; number < count; number++) {
-			text.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
-		}
-		return text.toString();
+	String describe() {
+		return this.kind + " " + this.id + " (" + this.message.style() + ((this.readsSlowly) ? " slow-reader" : "")
+				+ ", gateway " + this.gateway + ")";
 	}
 
 	/** Kind of a request. */
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
@@ -30,7 +30,8 @@
 
 	private static final long READY_TIMEOUT_MS = 20_000;
 
-	private static final long SHUTDOWN_MS = 8_000;
+	/** Time from SIGTERM until SIGKILL. */
+	static final long SHUTDOWN_MS = 8_000;
 
 	private static final long POLL_MS = 20;
 
@@ -52,12 +53,16 @@
 
 	private final boolean[] restarting;
 
+	private final int maxPauseMs;
+
 	private int startedEngines;
 
 	private long configurationVersion;
 
 	private volatile boolean sendsDeadlyPart;
 
+	private volatile boolean calm;
+
 	/**
 	 * Creates a site without processes.
 	 * @param launcher starts the gateways
@@ -66,8 +71,11 @@
 	 * @param ports one free port for the gateways to talk to each other, and three for
 	 * each of them
 	 * @param seed seed of the faults
+	 * @param maxPauseMs longest pause between the events of a stream, in ms
 	 */
-	SoakSite(ProcessLauncher launcher, SoakHistory history, int gateways, List<Integer> ports, long seed) {
+	SoakSite(ProcessLauncher launcher, SoakHistory history, int gateways, List<Integer> ports, long seed,
+			int maxPauseMs) {
+		this.maxPauseMs = maxPauseMs;
 		this.launcher = launcher;
 		this.history = history;
 		this.ports = ports;
@@ -109,6 +117,15 @@
 		return this.random.nextInt(bound);
 	}
 
+	/**
+	 * Draws about a third of the engines.
+	 * @return the engines, at least one
+	 */
+	synchronized List<EmulatedEngine> drawEngines() {
+		EmulatedEngine one = drawEngine();
+		return this.engines.stream().filter((engine) -> engine == one || this.random.nextInt(3) == 0).toList();
+	}
+
 	synchronized EmulatedEngine drawEngine() {
 		return this.engines.get(this.random.nextInt(this.engines.size()));
 	}
@@ -121,21 +138,36 @@
 		this.sendsDeadlyPart = enabled;
 	}
 
+	/**
+	 * Returns whether all requests are to be short.
+	 * @return true after the last fault
+	 */
+	boolean isCalm() {
+		return this.calm;
+	}
+
+	int maxPauseMs() {
+		return this.maxPauseMs;
+	}
+
+	void calm() {
+		this.calm = true;
+	}
+
 	synchronized void changeConfiguration() {
-		this.store.putConfiguration(
-				new EmulatedConfiguration(++this.configurationVersion).route("orders", "unsafe", "plain", 4_000)
-					.route("reads", "safe", "plain", 4_000)
-					.route("texts", "streaming", "models", 5_000)
-					.plainService("plain")
-					.modelService("models", MODEL, 4, 64)
-					.workspace("workspace", "key-1"));
+		this.store.putConfiguration(new EmulatedConfiguration(++this.configurationVersion)
+			.route("orders", "unsafe", "plain", SoakLoad.ROUTE_TIMEOUT_MS)
+			.route("reads", "safe", "plain", SoakLoad.ROUTE_TIMEOUT_MS)
+			.route("texts", "streaming", "models", SoakLoad.ROUTE_TIMEOUT_MS)
+			.plainService("plain")
+			.modelService("models", MODEL, 4, 64)
+			.workspace("workspace", "key-1"));
 	}
 
 	private synchronized void addEngine(boolean hasModel) {
 		EmulatedEngine engine = new EmulatedEngine(this.group, "127.0.0.1", "engine-" + this.startedEngines++,
 				(hasModel) ? "models" : "plain", "a", (hasModel) ? MODEL : "", (hasModel) ? 1 : 0);
-		engine.eventsPerStream = SoakRequest.EVENTS;
-		engine.deadlyPart = SoakCaller.DEADLY_PART;
+		engine.deadlyPart = SoakLoad.DEADLY_PART;
 		this.engines.add(engine);
 		this.history.add(engine);
 		list(engine, "ready");
@@ -191,36 +223,66 @@
 		return count;
 	}
 
-	void restartGateway(int gateway, boolean planned) throws InterruptedException {
+	/**
+	 * Stops a gateway with SIGTERM and starts it again.
+	 * @param gateway number of the gateway
+	 * @param stallAfterMs time after the signal at which the process is paused, in ms
+	 * @param stallMs duration of that pause in ms, 0 for none
+	 * @throws InterruptedException if the soak ends
+	 */
+	void stopGateway(int gateway, int stallAfterMs, int stallMs) throws InterruptedException {
 		if (!claim(gateway)) {
 			return;
 		}
 		long fromNanos = System.nanoTime();
 		LaunchedProcess process = this.processes[gateway];
-		if (planned) {
+		process.signal("TERM");
+		if (stallMs > 0 && !process.awaitExit(stallAfterMs)) {
+			// A second signal must not end the process sooner.
 			process.signal("TERM");
-			if (!process.awaitExit(SHUTDOWN_MS)) {
-				process.kill();
-			}
+			stall(gateway, stallMs);
 		}
-		else {
+		if (!process.awaitExit(Math.max(0, SHUTDOWN_MS - elapsedMs(fromNanos)))) {
 			process.kill();
 		}
+		startAgain(gateway, fromNanos, true);
+	}
+
+	private static long elapsedMs(long sinceNanos) {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+	}
+
+	void killGateway(int gateway) throws InterruptedException {
+		if (!claim(gateway)) {
+			return;
+		}
+		long fromNanos = System.nanoTime();
+		this.processes[gateway].kill();
+		startAgain(gateway, fromNanos, false);
+	}
+
+	private void startAgain(int gateway, long fromNanos, boolean planned) throws InterruptedException {
 		this.processes[gateway] = startProcess(gateway);
 		awaitReady(this.processes[gateway]);
-		release(gateway, new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), planned));
+		this.history.add(new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), planned));
+		release(gateway);
 	}
 
 	void pauseGateway(int gateway, int ms) throws InterruptedException {
 		if (!claim(gateway)) {
 			return;
 		}
-		long fromNanos = System.nanoTime();
+		stall(gateway, ms);
+		release(gateway);
+	}
+
+	private void stall(int gateway, int ms) throws InterruptedException {
 		LaunchedProcess process = this.processes[gateway];
+		long fromNanos = System.nanoTime();
 		process.signal("STOP");
 		TimeUnit.MILLISECONDS.sleep(ms);
 		process.signal("CONT");
-		release(gateway, new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), false));
+		this.history.add(new SoakHistory.Disturbance(gateway, fromNanos, System.nanoTime(), false));
 	}
 
 	private synchronized boolean claim(int gateway) {
@@ -231,8 +293,7 @@
 		return true;
 	}
 
-	private synchronized void release(int gateway, SoakHistory.Disturbance disturbance) {
-		this.history.add(disturbance);
+	private synchronized void release(int gateway) {
 		this.restarting[gateway] = false;
 	}
 
@@ -266,10 +327,15 @@
 			.put("coldSlack", 5)
 			.put("heartbeatMs", 1_200);
 		settings.putObject("resources").put("descriptors", 2_000).put("linkMegabitsPerSecond", 100);
-		return this.launcher.start(name, FleetProcess.class.getName(), List.of("-Xmx96m"),
+		return this.launcher.start(name, FleetProcess.class.getName(), jvmOptions(gateway),
 				List.of("--settings", this.launcher.writeJson(name + ".json", settings).toString()));
 	}
 
+	// Every second gateway runs as on a small machine.
+	private static List<String> jvmOptions(int gateway) {
+		return (gateway % 2 == 0) ? List.of("-Xmx96m") : List.of("-Xmx48m", "-XX:ActiveProcessorCount=1");
+	}
+
 	private static void awaitReady(LaunchedProcess process) throws InterruptedException {
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MS);
 		while (!process.logText().contains("\"ready\":\"true\"")) {
--- /dev/null
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakViolation.java
@@ -0,0 +1,24 @@
+package org.baobabknot.soak;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A rule that was broken.
+ *
+ * @param text what was seen
+ * @param request the request that it concerns, if any
+ */
+record SoakViolation(String text, @Nullable SoakRequest request) {
+
+	private static final int MAX_LENGTH = 300;
+
+	SoakViolation(String text) {
+		this(text, null);
+	}
+
+	static String shorten(String text) {
+		return (text.length() <= MAX_LENGTH) ? text
+				: text.substring(0, MAX_LENGTH) + "... (" + text.length() + " bytes)";
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
@@ -0,0 +1,158 @@
+package org.baobabknot.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import org.baobabknot.emulator.CallerExchange;
+import org.baobabknot.emulator.CallerExchange.End;
+import org.baobabknot.emulator.CallerMessage;
+import org.baobabknot.emulator.EngineBehavior.EngineEvent;
+import org.baobabknot.emulator.EngineBehavior.EventKind;
+import org.baobabknot.emulator.EngineWork;
+import org.baobabknot.soak.TargetRecords.Entry;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+
+/**
+ * Tests that the checks of the soak count what the rules count, and excuse only what they
+ * excuse. The stop of gateway 0 begins at second 10 and has a grace of 8 s.
+ */
+class SoakChecksTests {
+
+	private static final EngineWork WORK = new EngineWork(5, 10, 0);
+
+	private final List<SoakViolation> violations = new ArrayList<>();
+
+	private final SoakHistory history = new SoakHistory();
+
+	private static long nanos(double seconds) {
+		return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
+	}
+
+	private static Entry event(EventKind kind, double seconds) {
+		return new Entry("t1", new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200));
+	}
+
+	private static SoakRequest request(boolean http10, String id, Map<String, String> headers, String body, End end,
+			double sentSeconds, double endSeconds) {
+		CallerMessage message = new CallerMessage("POST", "/texts/x", id, http10, "", "body", false, false, 1, 0, 0);
+		CallerExchange exchange = new CallerExchange(200, headers, body, end, nanos(sentSeconds), nanos(sentSeconds),
+				nanos(sentSeconds), nanos(endSeconds));
+		return new SoakRequest("r1", SoakRequest.Kind.TEXT, 0, WORK, 15_000, false, message, exchange);
+	}
+
+	@Nested
+	class Stops {
+
+		private void check(double sentSeconds, double endSeconds, Entry... entries) {
+			SoakChecksTests.this.history.add(new SoakHistory.Disturbance(0, nanos(10), nanos(20), true));
+			new StopChecks(SoakChecksTests.this.history, new TargetRecords(Stream.of(entries)),
+					SoakChecksTests.this.violations::add)
+				.check(request(false, "r1", Map.of(), WORK.events("r1", 2), End.CLOSED, sentSeconds, endSeconds));
+		}
+
+		@Test
+		void aCutStreamIsLost() {
+			check(11, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.CANCELLED, 13));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void aStreamOfWhichTheTargetHasSentAllIsLost() {
+			check(11, 17.6, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.ENDED, 16));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void aStreamThatWasSentLateIsLostThoughItsTargetIsStillAtWork() {
+			check(13.1, 17.6, event(EventKind.RECEIVED, 13.1), event(EventKind.STARTED, 13.1));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void aTargetAtWorkInTheLastSixthExcusesTheCut() {
+			check(13, 17.6, event(EventKind.RECEIVED, 13), event(EventKind.STARTED, 13),
+					event(EventKind.CANCELLED, 17.6));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
+		@Test
+		void aTargetThatBreaksOffExcusesTheCut() {
+			check(11, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.BROKE_OFF, 13));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "11.2, 0", "11.21, 1" })
+		void aRequestThatIsNotPassedOnMayCrossTheCloseFor200Ms(double endSeconds, int count) {
+			check(11, endSeconds);
+			assertThat(SoakChecksTests.this.violations, hasSize(count));
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "7.9, 0", "7.5, 1" })
+		void aStallExcusesRequestsOfTheThreeSecondsAfterIt(double stallSeconds, int count) {
+			SoakChecksTests.this.history
+				.add(new SoakHistory.Disturbance(0, nanos(stallSeconds - 0.1), nanos(stallSeconds), false));
+			check(10.8, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11),
+					event(EventKind.CANCELLED, 13));
+			assertThat(SoakChecksTests.this.violations, hasSize(count));
+		}
+
+	}
+
+	@Nested
+	class Answers {
+
+		private static final Map<String, String> SIGNED = Map.of("response-seal", "seal-t1-r1", "request-id", "r1");
+
+		private void check(SoakRequest request) {
+			new AnswerChecks(new TargetRecords(Stream.of(event(EventKind.ANSWERED, 1))),
+					SoakChecksTests.this.violations::add)
+				.check(request);
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "5, COMPLETE, 0", "2, COMPLETE, 1", "2, RESET, 0", "6, RESET, 1" })
+		void aCutAnswerMustNotLookComplete(int events, End end, int count) {
+			check(request(true, "r1", SIGNED, WORK.events("r1", events), end, 1, 2));
+			assertThat(SoakChecksTests.this.violations, hasSize(count));
+		}
+
+		@Test
+		void aCallerWithoutAnIdGetsNoSuccess() {
+			check(request(false, "", SIGNED, WORK.events("r1", 5), End.COMPLETE, 1, 2));
+			// Both the status and the id of another request are violations.
+			assertThat(SoakChecksTests.this.violations, hasSize(2));
+		}
+
+		@Test
+		void theStreamOfAnotherRequestIsNotPassedOn() {
+			check(request(false, "r1", SIGNED, WORK.events("r2", 5), End.COMPLETE, 1, 2));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void aSuccessNeedsTheSignatureOfItsTarget() {
+			check(request(false, "r1", Map.of(), WORK.events("r1", 5), End.COMPLETE, 1, 2));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void bytesThatAreNoResponseAreReported() {
+			check(request(false, "r1", SIGNED, "", End.MALFORMED, 1, 2));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+	}
+
+}
--- a/benchmarks/src/test/java/org/baobabknot/soak/SoakTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakTests.java
@@ -2,7 +2,12 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Map;
 
+import org.baobabknot.emulator.CallerExchange;
+import org.baobabknot.emulator.CallerExchange.End;
+import org.baobabknot.emulator.CallerMessage;
+import org.baobabknot.emulator.EngineWork;
 import org.baobabknot.experiment.ExperimentContext;
 import org.baobabknot.experiment.ExperimentResult;
 import org.baobabknot.experiment.ProcessLauncher;
@@ -34,6 +39,7 @@
 			// test.
 			try (ProcessLauncher launcher = new ProcessLauncher(folder)) {
 				ExperimentResult result = new SoakExperiment().run(seed, SECONDS, GATEWAYS,
+						SoakExperiment.DEFAULT_PAUSE_MS,
 						new ExperimentContext(launcher, new PrintStream(System.err, true)));
 				assertThat(result.figures().toString(), result.allChecksPassed(), is(true));
 			}
@@ -44,7 +50,9 @@
 	@Nested
 	class Bodies {
 
-		private static final String TWO_EVENTS = "id: 0\ndata: e0\n\nid: 1\ndata: e1\n\n";
+		private static final EngineWork WORK = new EngineWork(5, 10, 0);
+
+		private static final String TWO_EVENTS = WORK.events("r1", 2);
 
 		@ParameterizedTest
 		@CsvSource({ "true, false", "false, true" })
@@ -53,13 +61,17 @@
 		}
 
 		@ParameterizedTest
-		@ValueSource(strings = { "id: 0\ndata: e0\n\nid: 1\nda", "id: 1\ndata: e1\n\n", "id: 0\ndata: e0\n\nid: 0\n" })
+		@ValueSource(strings = { "id: 0\ndata: e0 r1\n\nid: 1\nda", "id: 1\ndata: e1 r1\n\n",
+				"id: 0\ndata: e0 r1\n\nid: 0\n", "id: 0\ndata: e0 r2\n\n" })
 		void aBrokenStreamHasWholeEventsInOrder(String body) {
 			assertThat(text(false, body).isRight(), is(false));
 		}
 
 		private static SoakRequest text(boolean complete, String body) {
-			return new SoakRequest("r1", SoakRequest.Kind.TEXT, 0, 0, 200, complete, body);
+			CallerMessage message = new CallerMessage("POST", "/texts/x", "r1", false, "", "body", false, false, 1, 0,
+					0);
+			return new SoakRequest("r1", SoakRequest.Kind.TEXT, 0, WORK, 1_000, false, message,
+					new CallerExchange(200, Map.of(), body, (complete) ? End.COMPLETE : End.CLOSED, 0, 0, 0, 0));
 		}
 
 	}
