Judge a stop by each run of a request where runs overlap

The state is kept for each target now. Texts of violations are one line.

SoakChecksTests.aRunThatEndsAfterTheNextHasBegunIsNotTakenForIt is the traced case; SoakChecksTests and SoakTests.Bodies pass.

--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakViolation.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakViolation.java
@@ -17,8 +17,9 @@
 	}
 
 	static String shorten(String text) {
-		return (text.length() <= MAX_LENGTH) ? text
-				: text.substring(0, MAX_LENGTH) + "... (" + text.length() + " bytes)";
+		String line = text.replace("\n", "\\n");
+		return (line.length() <= MAX_LENGTH) ? line
+				: line.substring(0, MAX_LENGTH) + "... (" + text.length() + " bytes)";
 	}
 
 }
--- a/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
@@ -65,9 +65,12 @@
 	 * @return whether the target ended before its response was whole
 	 */
 	boolean brokeOff(String requestId) {
-		List<Entry> runs = of(requestId).stream().filter((entry) -> entry.bounds()).toList();
-		EventKind last = (runs.isEmpty()) ? EventKind.RECEIVED : runs.get(runs.size() - 1).event().kind();
-		return last == EventKind.BROKE_OFF || last == EventKind.CRASHED;
+		String last = "";
+		for (Entry entry : of(requestId)) {
+			last = (entry.event().kind() == EventKind.STARTED) ? entry.target() : last;
+		}
+		EventKind state = states(requestId, Long.MAX_VALUE).get(last);
+		return state == EventKind.BROKE_OFF || state == EventKind.CRASHED;
 	}
 
 	/**
@@ -77,10 +80,16 @@
 	 * @return whether a run that began before had not ended
 	 */
 	boolean atWork(String requestId, long nanos) {
-		List<Entry> runs = of(requestId).stream()
-			.filter((entry) -> entry.bounds() && entry.event().nanos() < nanos)
-			.toList();
-		return !runs.isEmpty() && runs.get(runs.size() - 1).event().kind() == EventKind.STARTED;
+		return states(requestId, nanos).containsValue(EventKind.STARTED);
+	}
+
+	// The last event of the run at each target: runs may overlap.
+	private Map<String, EventKind> states(String requestId, long beforeNanos) {
+		Map<String, EventKind> states = new HashMap<>();
+		of(requestId).stream()
+			.filter((entry) -> entry.bounds() && entry.event().nanos() < beforeNanos)
+			.forEach((entry) -> states.put(entry.target(), entry.event().kind()));
+		return states;
 	}
 
 	/**
--- a/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
@@ -39,7 +39,11 @@
 	}
 
 	private static Entry event(EventKind kind, double seconds) {
-		return new Entry("t1", new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200));
+		return event("t1", kind, seconds);
+	}
+
+	private static Entry event(String target, EventKind kind, double seconds) {
+		return new Entry(target, new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200));
 	}
 
 	private static SoakRequest request(boolean http10, String id, Map<String, String> headers, String body, End end,
@@ -85,6 +89,13 @@
 			assertThat(SoakChecksTests.this.violations, empty());
 		}
 
+		@Test
+		void aRunThatEndsAfterTheNextHasBegunIsNotTakenForIt() {
+			check(11, 17.6, event(EventKind.STARTED, 11), event("t2", EventKind.STARTED, 11.5),
+					event(EventKind.CANCELLED, 11.6), event(EventKind.RECEIVED, 11));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
 		@Test
 		void aTargetThatBreaksOffExcusesTheCut() {
 			check(11, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.BROKE_OFF, 13));
