Answer an order whose agent doesn't come back

Callers of an order whose agent was killed got nothing until their deadline. Cause: when no connection to the agent came back within 3 s, the entry gave up with a query that had no stream, and cancelling it threw an exception before the response was sent; the request also stayed open in the entry. Now such a query never becomes the attempt of the request.

--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -398,11 +398,12 @@
 			return;
 		}
 		AgentAttempt resolveQuery = new AgentAttempt(this, this.caller.eventLoop(), agent, this.forwarder.now(), true);
-		this.attempt = resolveQuery;
 		if (connection == null) {
+			this.attempt = null;
 			retryOrGiveUp(resolveQuery, AttemptOutcome.UNKNOWN, agent + " is gone; the request may have run");
 			return;
 		}
+		this.attempt = resolveQuery;
 		resolveQuery.setStream(connection
 			.open(this.forwarder.resolveFrame(this.request, this.body, this.agentIncarnation), resolveQuery));
 	}
--- a/daemon/src/test/java/org/baobabknot/daemon/ProcessFixture.java
+++ b/daemon/src/test/java/org/baobabknot/daemon/ProcessFixture.java
@@ -62,8 +62,22 @@
 
 	private final int callerPort = TestPorts.findFree();
 
+	private final int shutdownMs;
+
 	ProcessFixture(Path directory) throws Exception {
+		this(directory, 0, 120_000);
+	}
+
+	/**
+	 * Starts the processes.
+	 * @param directory directory of their settings and logs
+	 * @param targetPort port of the target, 0 for the own one
+	 * @param shutdownMs longest time in which open requests may complete after SIGTERM
+	 * @throws Exception if they did not start
+	 */
+	ProcessFixture(Path directory, int targetPort, int shutdownMs) throws Exception {
 		this.directory = directory;
+		this.shutdownMs = shutdownMs;
 		this.target.createContext("/", ProcessFixture::streamResponse);
 		this.target.setExecutor(Executors.newCachedThreadPool());
 		this.target.start();
@@ -72,7 +86,7 @@
 		this.entry = start("entry", settings("entry").set("http", address(this.callerPort)));
 		ObjectNode target = JsonNodeFactory.instance.objectNode()
 			.put("service", "s")
-			.put("url", "http://127.0.0.1:" + this.target.getAddress().getPort())
+			.put("url", "http://127.0.0.1:" + ((targetPort > 0) ? targetPort : this.target.getAddress().getPort()))
 			.put("kind", "plain")
 			.put("coldLimit", 64)
 			.put("capacity", 64);
@@ -113,6 +127,20 @@
 		}
 	}
 
+	int callerPort() {
+		return this.callerPort;
+	}
+
+	/**
+	 * Sends a signal to a process.
+	 * @param process the process
+	 * @param name name of the signal without the prefix SIG
+	 * @throws Exception if it was not sent
+	 */
+	static void signal(Process process, String name) throws Exception {
+		new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+	}
+
 	String readLog(String name) throws IOException {
 		return Files.readString(this.directory.resolve(name + ".log"));
 	}
@@ -167,7 +195,7 @@
 			.put("certificate", role + ".pem")
 			.put("key", role + ".key")
 			.put("authorities", "authorities.pem");
-		settings.putObject("timeouts").put("balancerLagMs", 1_000);
+		settings.putObject("timeouts").put("balancerLagMs", 1_000).put("shutdownMs", this.shutdownMs);
 		return settings;
 	}
 
@@ -193,7 +221,7 @@
 		String document = JsonNodeFactory.instance.objectNode()
 			.put("revision", 1)
 			.put("change_id", "c1")
-			.put("text", "workspace w s # test: needed\n")
+			.put("text", "workspace w s # test: needed\nonce s POST /orders # test: needed\n")
 			.toString();
 		HttpRequest request = HttpRequest.newBuilder(URI.create(this.store.url() + "/v1/kv/baobabknot/rules?expect=0"))
 			.PUT(HttpRequest.BodyPublishers.ofString(document))
