Let no output that nobody reads keep entry and agent from stopping

An entry or agent whose output was full ignored SIGTERM and was still there after 10 s, since the line about the signal was written by the thread that handles it; any line of an event loop would have stopped all callers. Lines now go through the thread of DecisionLog, also those of the root logger of gateways and loaders; the end of the process waits for them, 100 ms at most, and the port is printed by a thread of its own. When the output is full at the start, the process still waits for it in libraries that print to standard error.

--- a/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
@@ -14,6 +14,7 @@
 import joptsimple.OptionSpec;
 import org.baobabknot.agent.AgentRole;
 import org.baobabknot.entry.EntryRole;
+import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.observe.JsonLogFormatter;
 import org.baobabknot.settings.ProcessRole;
 import org.baobabknot.settings.Settings;
@@ -30,6 +31,9 @@
 
 	private static final int EXIT_USAGE = 2;
 
+	/** Longest time for which a full or closed output delays the end of the process. */
+	private static final long OUTPUT_FLUSH_MS = 100;
+
 	private Baobabknotd() {
 	}
 
@@ -38,9 +42,7 @@
 	 * @param arguments command line
 	 */
 	public static void main(String[] arguments) {
-		int status = run(arguments, System.out, System.err);
-		System.out.flush();
-		System.exit(status);
+		System.exit(run(arguments, System.out, System.err));
 	}
 
 	/**
@@ -94,10 +96,14 @@
 			out.println(file + " is valid");
 			return 0;
 		}
-		JsonLogFormatter.install(settings.instance());
+		DecisionLog log = DecisionLog.toStandardError(settings.instance());
+		JsonLogFormatter.install(settings.instance(), log);
 		try {
 			Daemon daemon = new Daemon(settings, roleFactory(settings.role()));
-			return runUntilSignal(daemon, settings, out);
+			int status = runUntilSignal(daemon, settings, out);
+			log.line(DecisionLog.Importance.PROCESS_END, "stopped").write();
+			log.flush(OUTPUT_FLUSH_MS);
+			return status;
 		}
 		catch (IOException | CompletionException ex) {
 			err.println("cannot start " + settings.instance() + ": " + ex.getMessage());
@@ -116,8 +122,7 @@
 						.thenRun(drained::countDown));
 		}
 		daemon.start().join();
-		out.println("listening on " + daemon.address().getPort());
-		out.flush();
+		printPort(daemon.address().getPort(), out);
 		try {
 			drained.await();
 		}
@@ -128,6 +133,16 @@
 		return 0;
 	}
 
+	// An output that nobody reads must not keep the process from handling its signals.
+	private static void printPort(int port, PrintStream out) {
+		Thread printer = new Thread(() -> {
+			out.println("listening on " + port);
+			out.flush();
+		}, "print-port");
+		printer.setDaemon(true);
+		printer.start();
+	}
+
 	private static Function<ProcessContext, Role> roleFactory(ProcessRole role) {
 		return (role == ProcessRole.ENTRY) ? EntryRole::new : AgentRole::new;
 	}
--- a/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/FleetProcess.java
@@ -103,7 +103,7 @@
 			out.println(file + " is valid");
 			return 0;
 		}
-		JsonLogFormatter.install(settings.instance());
+		JsonLogFormatter.install(settings.instance(), DecisionLog.toStandardError(settings.instance()));
 		DecisionLog log = new DecisionLog(settings.instance());
 		EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		try {
--- a/daemon/src/main/java/org/baobabknot/observe/DecisionLog.java
+++ b/daemon/src/main/java/org/baobabknot/observe/DecisionLog.java
@@ -55,6 +55,15 @@
 		this(instance, new FileOutputStream(FileDescriptor.out));
 	}
 
+	/**
+	 * Creates a log on standard error and starts its thread.
+	 * @param instance name of this instance, part of every line
+	 * @return the log
+	 */
+	public static DecisionLog toStandardError(String instance) {
+		return new DecisionLog(instance, new FileOutputStream(FileDescriptor.err));
+	}
+
 	/**
 	 * Creates a log and starts its thread.
 	 * @param instance name of this instance, part of every line
@@ -77,6 +86,14 @@
 		return new Line(importance, event, withinLimit(importance));
 	}
 
+	/**
+	 * Writes a line that another logger has formatted.
+	 * @param line the line with its end
+	 */
+	void writeFormatted(String line) {
+		enqueue(line, Importance.STATE);
+	}
+
 	/**
 	 * Returns the number of lines that were dropped because the output was too slow.
 	 * @return their number
@@ -122,7 +139,7 @@
 				if (count > 0) {
 					ObjectNode summary = newLine("lines-suppressed");
 					summary.put("importance", level.name()).put("lines", count);
-					enqueue(summary, Importance.STATE);
+					enqueue(summary + "\n", Importance.STATE);
 				}
 			}
 		}
@@ -142,13 +159,13 @@
 		return node;
 	}
 
-	private void enqueue(ObjectNode node, Importance importance) {
+	private void enqueue(String line, Importance importance) {
 		if (this.queue.size() >= importance.maxQueuedLines) {
 			this.droppedLines.incrementAndGet();
 			return;
 		}
 		this.queuedLines.incrementAndGet();
-		this.queue.add(node + "\n");
+		this.queue.add(line);
 	}
 
 	private void writeLines(OutputStream output) {
@@ -259,7 +276,7 @@
 		 */
 		public void write() {
 			if (this.enabled) {
-				enqueue(this.node, this.importance);
+				enqueue(this.node + "\n", this.importance);
 			}
 		}
 
--- a/daemon/src/main/java/org/baobabknot/observe/JsonLogFormatter.java
+++ b/daemon/src/main/java/org/baobabknot/observe/JsonLogFormatter.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -24,18 +23,20 @@
 	}
 
 	/**
-	 * Makes the root logger write JSON lines to standard error.
+	 * Makes the root logger write JSON lines to a log, so that a thread that logs never
+	 * waits for the output.
 	 * @param instance name of this instance, part of every line
+	 * @param log receives the lines
 	 */
-	public static void install(String instance) {
+	public static void install(String instance, DecisionLog log) {
 		Logger root = Logger.getLogger("");
 		for (Handler handler : root.getHandlers()) {
 			root.removeHandler(handler);
 		}
-		ConsoleHandler console = new ConsoleHandler();
-		console.setFormatter(new JsonLogFormatter(instance));
-		console.setLevel(Level.INFO);
-		root.addHandler(console);
+		Handler handler = new LogHandler(log);
+		handler.setFormatter(new JsonLogFormatter(instance));
+		handler.setLevel(Level.INFO);
+		root.addHandler(handler);
 		root.setLevel(Level.INFO);
 	}
 
@@ -55,4 +56,31 @@
 		return line + "\n";
 	}
 
+	private static final class LogHandler extends Handler {
+
+		private final DecisionLog log;
+
+		LogHandler(DecisionLog log) {
+			this.log = log;
+		}
+
+		@Override
+		public void publish(LogRecord entry) {
+			if (isLoggable(entry)) {
+				this.log.writeFormatted(getFormatter().format(entry));
+			}
+		}
+
+		@Override
+		public void flush() {
+			// The end of the process waits for the log itself, for a limited time.
+		}
+
+		@Override
+		public void close() {
+			// The log has no resources of its own.
+		}
+
+	}
+
 }
