Give requests a final response and a line when a stop of entry or agent ends

Callers of an entry whose time to stop was over got the close of the kernel whatever had become of their request, a begun head was cut when the listening port closed, and neither process had a line for any request. An agent at its end said nothing to the entry, which resolved its requests with a process that was gone.

After timeouts.shutdownMs an entry now answers each open request by what is true: 503 (not run) if nothing was sent to an agent, 502 (unknown) if it may have run; begun responses are visibly incomplete. An agent refuses what it has not handed over and fails the rest. Both write a line request-ended for each request, with the limits of the gateways' lines, and one without a limit for those that the end cuts, before the process ends. Refused heads and bodies count in baobabknot_requests; the outcome "failed" there was "refused" before.

EntryEndTests.TimeOver failed before (2 of 2 on: connection closed without a response; no response from the entry within 10 s after the agent's stop) and passes, with the rest of the class and DaemonProcessTests.

--- a/daemon/src/main/java/org/baobabknot/agent/AgentContext.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentContext.java
@@ -20,9 +20,10 @@
  * @param metrics metrics
  * @param load supplies the current load
  * @param openRequests the requests that have not ended
+ * @param log receives a line for each request
  */
 record AgentContext(ProcessContext node, String service, Target target, TargetAdmission admission,
 		TargetMonitor monitor, RequestRecord record, ClaimExecutor claims, AgentMetrics metrics, Supplier<Load> load,
-		OpenRequests openRequests) {
+		OpenRequests openRequests, RequestLog log) {
 
 }
--- a/daemon/src/main/java/org/baobabknot/agent/AgentRequest.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRequest.java
@@ -45,6 +45,8 @@
 
 	private final RequestStart start;
 
+	private final long startNanos;
+
 	private final long deadlineNanos;
 
 	private final List<ByteString> body = new ArrayList<>();
@@ -70,7 +72,8 @@
 		this.stream = stream;
 		this.start = start;
 		long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(Integer.toUnsignedLong(start.getTimeoutMs()));
-		this.deadlineNanos = context.node().nowNanos() + timeoutNanos;
+		this.startNanos = context.node().nowNanos();
+		this.deadlineNanos = this.startNanos + timeoutNanos;
 		this.deadline = stream.eventLoop().schedule(this::onDeadline, timeoutNanos, TimeUnit.NANOSECONDS);
 	}
 
@@ -168,7 +171,7 @@
 		}
 		ResponseFrames.replay(result, this.context.load().get(), this.stream);
 		this.context.metrics().recordOutcome("replayed");
-		finish();
+		finish("replayed", "");
 	}
 
 	@Override
@@ -317,7 +320,7 @@
 		}
 		withdraw();
 		this.context.metrics().recordOutcome("canceled");
-		finish();
+		finish("canceled", reason);
 	}
 
 	private void onDeadline() {
@@ -336,14 +339,15 @@
 		withdraw();
 		this.context.metrics().recordRefusal(refusal.reason());
 		this.stream.send(ResponseFrames.refused(refusal, this.context.load().get()));
-		finish();
+		finish("refused", refusal.reason() + ": " + refusal.detail());
 	}
 
 	private void fail(String step, String detail, boolean outcomeUnknown) {
-		this.context.metrics().recordOutcome(outcomeUnknown ? "unknown" : "failed");
+		String outcome = (outcomeUnknown) ? "unknown" : "failed";
+		this.context.metrics().recordOutcome(outcome);
 		this.stream
 			.send(ResponseFrames.failed(step, this.context.node().settings().instance(), detail, outcomeUnknown));
-		finish();
+		finish(outcome, step + ": " + detail);
 	}
 
 	// The record is withdrawn last, so that no claim is granted for a request that is not
@@ -358,8 +362,28 @@
 		}
 	}
 
-	private void finish() {
+	/**
+	 * Ends the request because the process ends. Called on any thread.
+	 */
+	void processEnding() {
+		runOnEventLoop(() -> {
+			if (this.runningRequest != null) {
+				this.runningRequest.processEnding();
+			}
+			else {
+				refuse(Refusal.of(RefusalReason.REFUSED_LEAVING, "the agent ended before the request was handed over"));
+			}
+		});
+	}
+
+	private void finish(String outcome, String detail) {
+		if (this.phase == Phase.DONE) {
+			return;
+		}
 		this.phase = Phase.DONE;
+		this.context.log()
+			.requestEnded(this.start, this.stream.connection().peerName(), outcome, detail,
+					this.context.node().nowNanos() - this.startNanos);
 		this.deadline.cancel(false);
 		this.body.clear();
 		this.stream.close();
--- a/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
@@ -90,7 +90,7 @@
 				new PeerResolver(process, targetSettings.service()), metrics);
 		LoadSource load = new LoadSource(targetSettings.service(), this.admission, this.monitor);
 		this.context = new AgentContext(process, targetSettings.service(), this.target, this.admission, this.monitor,
-				record, claims, metrics, load, new OpenRequests());
+				record, claims, metrics, load, new OpenRequests(), new RequestLog(process.requestLog()));
 		this.weights = (engine)
 				? settings.platform().origin().map((origin) -> weights(targetSettings.service(), origin))
 				: Optional.empty();
@@ -171,6 +171,12 @@
 		return flushed;
 	}
 
+	@Override
+	public int endOpenRequests() {
+		this.context.log().processEnding();
+		return this.context.openRequests().endAll();
+	}
+
 	@Override
 	public boolean isReady() {
 		return this.admission.limiter().closeReason().isEmpty();
--- a/daemon/src/main/java/org/baobabknot/agent/OpenRequests.java
+++ b/daemon/src/main/java/org/baobabknot/agent/OpenRequests.java
@@ -40,6 +40,16 @@
 		return this.drained;
 	}
 
+	/**
+	 * Ends all open requests, because the process ends.
+	 * @return number of requests that were open
+	 */
+	int endAll() {
+		int count = this.open.size();
+		this.open.forEach(AgentRequest::processEnding);
+		return count;
+	}
+
 	private void completeIfDrained() {
 		if (this.draining && this.open.isEmpty()) {
 			this.drained.complete(null);
--- a/daemon/src/main/java/org/baobabknot/agent/RunningRequest.java
+++ b/daemon/src/main/java/org/baobabknot/agent/RunningRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import com.google.protobuf.ByteString;
 import org.baobabknot.httpclient.HttpFailure;
@@ -40,7 +41,7 @@
 
 	private final RequestSlot slot;
 
-	private final Runnable onFinished;
+	private final BiConsumer<String, String> onFinished;
 
 	private final TargetCall call;
 
@@ -52,6 +53,9 @@
 
 	private boolean responseExpected = true;
 
+	/** Why the entry no longer waits, empty while it does. */
+	private String abandonReason = "";
+
 	private boolean targetCompleted;
 
 	private boolean endPending;
@@ -59,7 +63,7 @@
 	private boolean finished;
 
 	RunningRequest(AgentContext context, Stream stream, Hash128 id, boolean nonIdempotent, RequestSlot slot,
-			Runnable onFinished) {
+			BiConsumer<String, String> onFinished) {
 		this.context = context;
 		this.stream = stream;
 		this.id = id;
@@ -149,7 +153,7 @@
 		}
 		this.context.metrics().recordOutcome("whole");
 		if (!this.responseExpected) {
-			finish();
+			finish("abandoned", this.abandonReason);
 		}
 		else if (this.stream.isWritable()) {
 			sendEnd();
@@ -161,7 +165,7 @@
 
 	private void sendEnd() {
 		this.stream.send(ResponseFrames.end(this.sentBytes));
-		finish();
+		finish("whole", "");
 	}
 
 	@Override
@@ -177,7 +181,7 @@
 			Refusal refusal = Refusal.retryLater(RefusalReason.REFUSED_UNAVAILABLE, failure.toString());
 			this.stream.send(ResponseFrames.refused(refusal, this.context.load().get()));
 		}
-		finish();
+		finish("refused", failure.toString());
 	}
 
 	@Override
@@ -187,12 +191,13 @@
 		if (this.nonIdempotent) {
 			this.context.record().markOutcomeUnknown(this.id, this.context.node().nowNanos());
 		}
-		this.context.metrics().recordOutcome(this.nonIdempotent ? "unknown" : "failed");
+		String outcome = (this.nonIdempotent) ? "unknown" : "failed";
+		this.context.metrics().recordOutcome(outcome);
 		if (this.responseExpected) {
 			this.stream
 				.send(ResponseFrames.failed(failure.step(), failure.peer(), failure.detail(), this.nonIdempotent));
 		}
-		finish();
+		finish(outcome, (this.responseExpected) ? failure.toString() : this.abandonReason);
 	}
 
 	// The slot is free only when the engine confirms that it no longer runs the request;
@@ -227,8 +232,9 @@
 		}
 		this.responseExpected = false;
 		this.endPending = false;
+		this.abandonReason = reason;
 		if (this.targetCompleted) {
-			finish();
+			finish("abandoned", reason);
 		}
 		else if (bodyComplete && runsToCompletion()) {
 			this.call.resume();
@@ -252,16 +258,36 @@
 		abandonResponse("deadline passed", bodyComplete);
 	}
 
+	/**
+	 * Ends the request because the process ends. What its target does with it is not
+	 * known from then on.
+	 */
+	void processEnding() {
+		if (this.finished) {
+			return;
+		}
+		String detail = (this.responseExpected) ? "the agent ended before the response was complete"
+				: this.abandonReason;
+		if (this.responseExpected) {
+			this.responseExpected = false;
+			this.stream.send(ResponseFrames.failed("shutdown", this.context.node().settings().instance(), detail,
+					this.nonIdempotent));
+		}
+		String outcome = (this.nonIdempotent) ? "unknown" : "failed";
+		this.context.metrics().recordOutcome(outcome);
+		finish(outcome, detail);
+	}
+
 	// A plain service does not support cancellation, so the slot stays in use until the
 	// request ends.
 	private boolean runsToCompletion() {
 		return this.nonIdempotent || !this.context.monitor().isEngine();
 	}
 
-	private void finish() {
+	private void finish(String outcome, String detail) {
 		if (!this.finished) {
 			this.finished = true;
-			this.onFinished.run();
+			this.onFinished.accept(outcome, detail);
 		}
 	}
 
--- a/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Baobabknotd.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import joptsimple.OptionException;
@@ -99,7 +98,7 @@
 		DecisionLog log = DecisionLog.toStandardError(settings.instance());
 		JsonLogFormatter.install(settings.instance(), log);
 		try {
-			Daemon daemon = new Daemon(settings, roleFactory(settings.role()));
+			Daemon daemon = new Daemon(settings, roleFactory(settings.role()), log);
 			int status = runUntilSignal(daemon, settings, out);
 			log.line(DecisionLog.Importance.PROCESS_END, "stopped").write();
 			log.flush(OUTPUT_FLUSH_MS);
@@ -117,8 +116,7 @@
 		// handlers are closed.
 		for (String name : new String[] { "TERM", "INT" }) {
 			Signal.handle(new Signal(name),
-					(signal) -> daemon.drain("SIG" + signal.getName())
-						.completeOnTimeout(null, settings.timeouts().shutdownMs(), TimeUnit.MILLISECONDS)
+					(signal) -> daemon.stop("SIG" + signal.getName(), settings.timeouts().shutdownMs())
 						.thenRun(drained::countDown));
 		}
 		daemon.start().join();
--- a/daemon/src/main/java/org/baobabknot/daemon/Daemon.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package org.baobabknot.daemon;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
@@ -35,6 +36,7 @@
 import org.baobabknot.members.ListedMember;
 import org.baobabknot.members.MemberList;
 import org.baobabknot.membership.MembershipView;
+import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.observe.EventRecorder;
 import org.baobabknot.observe.OperatorServer;
 import org.baobabknot.protocol.Acceptor;
@@ -55,6 +57,11 @@
  */
 public final class Daemon {
 
+	/**
+	 * Time for the last responses to leave the process.
+	 */
+	private static final long FINAL_RESPONSES_MS = 250;
+
 	private final Settings settings;
 
 	private final EventLoopGroup group;
@@ -80,12 +87,24 @@
 	private volatile @Nullable InetSocketAddress operatorAddress;
 
 	/**
-	 * Creates the components, without binding a port or calling another process.
+	 * Creates the components without a log of requests.
 	 * @param settings settings of the process
 	 * @param roleFactory creates the role
 	 * @throws IOException if the token or a TLS file cannot be used
 	 */
 	public Daemon(Settings settings, Function<ProcessContext, Role> roleFactory) throws IOException {
+		this(settings, roleFactory, new DecisionLog(settings.instance(), OutputStream.nullOutputStream()));
+	}
+
+	/**
+	 * Creates the components, without binding a port or calling another process.
+	 * @param settings settings of the process
+	 * @param roleFactory creates the role
+	 * @param requestLog receives a line for each request
+	 * @throws IOException if the token or a TLS file cannot be used
+	 */
+	public Daemon(Settings settings, Function<ProcessContext, Role> roleFactory, DecisionLog requestLog)
+			throws IOException {
 		this.settings = settings;
 		this.group = new MultiThreadIoEventLoopGroup(settings.limits().threads(),
 				new DefaultThreadFactory("loop", true), NioIoHandler.newFactory());
@@ -118,9 +137,9 @@
 		ConnectionEventDispatcher listener = new ConnectionEventDispatcher(streams, peers, ruleSync, memberSync,
 				operatorTokenCheck(settings));
 		this.context = new ProcessContext(settings, incarnation, clock, ticker, this.group, configuration, membership,
-				store, memberList, streams, peers, pauseGate, statusReport, events, new PrometheusRegistry(),
-				localState, ConnectionSettings.defaults(), new ProtocolCounters(), clientTls, serverTls, listener,
-				ruleSync::ensureRevision);
+				store, memberList, streams, peers, pauseGate, statusReport, events, requestLog,
+				new PrometheusRegistry(), localState, ConnectionSettings.defaults(), new ProtocolCounters(), clientTls,
+				serverTls, listener, ruleSync::ensureRevision);
 		this.operatorRequests = new OperatorRequestHandler(this.context, this::drain);
 		ProcessMetrics.register(this.context, ruleSync);
 		this.role = roleFactory.apply(this.context);
@@ -176,6 +195,27 @@
 		return done;
 	}
 
+	/**
+	 * Drains the process and, when its time is over, ends the requests that are still
+	 * open by what is true of them.
+	 * @param reason shown on the timeline
+	 * @param timeoutMs time in which open requests may complete, in ms
+	 * @return completed when the process can end
+	 */
+	public CompletableFuture<Void> stop(String reason, long timeoutMs) {
+		CompletableFuture<Void> drained = drain(reason);
+		return drained.thenApply((nothing) -> true)
+			.completeOnTimeout(false, timeoutMs, TimeUnit.MILLISECONDS)
+			.thenCompose((inTime) -> {
+				if (inTime) {
+					return drained;
+				}
+				int ended = this.role.endOpenRequests();
+				this.context.events().record("time-over", ended + " requests were open");
+				return drained.copy().completeOnTimeout(null, FINAL_RESPONSES_MS, TimeUnit.MILLISECONDS);
+			});
+	}
+
 	/**
 	 * Removes the instance from the member list and closes all components.
 	 */
--- a/daemon/src/main/java/org/baobabknot/daemon/ProcessContext.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/ProcessContext.java
@@ -13,6 +13,7 @@
 import org.baobabknot.gossip.StreamRouter;
 import org.baobabknot.members.MemberList;
 import org.baobabknot.membership.MembershipView;
+import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.observe.EventRecorder;
 import org.baobabknot.protocol.ConnectionSettings;
 import org.baobabknot.protocol.LocalState;
@@ -40,6 +41,7 @@
  * @param pauseGate holds back new work after a pause
  * @param statusReport collects the load and the status of the role
  * @param events log and timeline
+ * @param requestLog receives a line for each request
  * @param metrics registry that {@code /metrics} serves
  * @param localState state that this process sends to its peers
  * @param connectionSettings settings of connections
@@ -52,9 +54,9 @@
 public record ProcessContext(Settings settings, long incarnation, HybridClock clock, Ticker ticker,
 		EventLoopGroup group, ConfigurationView configuration, MembershipView membership, ConfigurationStore store,
 		MemberList memberList, StreamRouter streams, Peers peers, PauseGate pauseGate, StatusReport statusReport,
-		EventRecorder events, PrometheusRegistry metrics, LocalState localState, ConnectionSettings connectionSettings,
-		ProtocolCounters counters, @Nullable SslContext clientTls, @Nullable SslContext serverTls,
-		ConnectionEventDispatcher connectionListener, RevisionSource revisionSource) {
+		EventRecorder events, DecisionLog requestLog, PrometheusRegistry metrics, LocalState localState,
+		ConnectionSettings connectionSettings, ProtocolCounters counters, @Nullable SslContext clientTls,
+		@Nullable SslContext serverTls, ConnectionEventDispatcher connectionListener, RevisionSource revisionSource) {
 
 	/**
 	 * Current monotonic time.
--- a/daemon/src/main/java/org/baobabknot/daemon/Role.java
+++ b/daemon/src/main/java/org/baobabknot/daemon/Role.java
@@ -26,6 +26,13 @@
 	 */
 	CompletableFuture<Void> drain(String reason);
 
+	/**
+	 * Ends the work that is still in flight at the end of the process: each request gets
+	 * a response that is true whether it has run or not, and a line in the log.
+	 * @return number of requests that were ended
+	 */
+	int endOpenRequests();
+
 	/**
 	 * Whether the role accepts new work, as reported by {@code /readyz}.
 	 * @return false while starting, draining or out of service
--- a/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.baobabknot.entry;
 
 import java.util.ArrayDeque;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
@@ -43,9 +44,11 @@
 
 	private @Nullable CallerWriter writer;
 
+	private @Nullable SocketReads reads;
+
 	private @Nullable Exchange exchange;
 
-	private State state = State.IDLE;
+	private CallerState state = CallerState.IDLE;
 
 	private long bodyBytes;
 
@@ -63,11 +66,6 @@
 
 	private boolean keepAlive = true;
 
-	private boolean readPending;
-
-	/** Whether another read was requested while one was pending. */
-	private boolean readRequested;
-
 	private boolean draining;
 
 	private boolean handlingPipelined;
@@ -76,26 +74,11 @@
 		this.server = server;
 	}
 
-	/** State of the connection. */
-	private enum State {
-
-		/** Waits for the head of a request. */
-		IDLE,
-		/** Waits for the pause gate to admit a request; messages are queued. */
-		ADMITTING,
-		/** Waits for the end of the exchange. */
-		EXCHANGE,
-		/** Reads and discards the rest of a request body. */
-		DISCARDING,
-		/** Closed or being closed. */
-		CLOSED
-
-	}
-
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) {
 		this.channelContext = context;
 		this.writer = new CallerWriter(context);
+		this.reads = new SocketReads(context);
 	}
 
 	@Override
@@ -114,12 +97,10 @@
 
 	@Override
 	public void channelReadComplete(ChannelHandlerContext context) {
-		this.readPending = false;
-		boolean readAgain = this.readRequested;
-		this.readRequested = false;
+		boolean readAgain = Objects.requireNonNull(this.reads).complete();
 		// One read stays pending while an exchange is open, to detect that the caller
 		// has closed the connection. Data that arrives instead is queued.
-		if (readAgain || this.state == State.IDLE || this.state == State.DISCARDING
+		if (readAgain || this.state == CallerState.IDLE || this.state == CallerState.DISCARDING
 				|| (this.bodyComplete && this.pipelined.isEmpty())) {
 			requestRead();
 		}
@@ -135,7 +116,10 @@
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		this.state = State.CLOSED;
+		if (this.state == CallerState.ADMITTING) {
+			this.server.log().unidentifiedRequestEnded("caller-gone", 0, "");
+		}
+		this.state = CallerState.CLOSED;
 		Exchange openExchange = this.exchange;
 		if (openExchange != null) {
 			openExchange.callerDisconnected();
@@ -155,24 +139,43 @@
 	 * extend it by sending the head slowly. Called for any received bytes.
 	 */
 	void bytesReceived() {
-		if (this.state == State.IDLE && !this.headIncomplete) {
+		if (this.state == CallerState.IDLE && !this.headIncomplete) {
 			this.headIncomplete = true;
 			this.headStartNanos = this.server.now();
 		}
 	}
 
 	/**
-	 * Closes the connection, at once if it is idle and else after the response.
+	 * Closes the connection, at once if it is idle and else after the response. It isn't
+	 * idle once a request head has begun to arrive.
 	 */
 	void drain() {
 		eventLoop().execute(() -> {
 			this.draining = true;
-			if (this.state == State.IDLE && this.pipelined.isEmpty()) {
+			if (this.state == CallerState.IDLE && !this.headIncomplete && this.pipelined.isEmpty()) {
 				channelContext().close();
 			}
 		});
 	}
 
+	/**
+	 * Ends an open request, because the process ends.
+	 */
+	void processEnding() {
+		eventLoop().execute(() -> {
+			this.draining = true;
+			this.keepAlive = false;
+			Exchange openExchange = this.exchange;
+			if (openExchange != null) {
+				openExchange.processEnding();
+			}
+			else if (this.state == CallerState.ADMITTING
+					|| (this.state == CallerState.IDLE && (this.headIncomplete || !this.pipelined.isEmpty()))) {
+				refuse("process-end", ErrorResponse.processEnded(false));
+			}
+		});
+	}
+
 	@Override
 	public EventLoop eventLoop() {
 		return channelContext().channel().eventLoop();
@@ -207,13 +210,13 @@
 
 	@Override
 	public void abortResponse() {
-		this.state = State.CLOSED;
+		this.state = CallerState.CLOSED;
 		channelContext().close();
 	}
 
 	@Override
 	public void sendError(ErrorResponse error, String requestId) {
-		if (this.state == State.CLOSED) {
+		if (this.state == CallerState.CLOSED) {
 			return;
 		}
 		FullHttpResponse response = error.toHttpResponse(requestId);
@@ -226,6 +229,17 @@
 		responseCompleted();
 	}
 
+	// Refuses a request that has no exchange.
+	private void refuse(String outcome, ErrorResponse error) {
+		if (this.state == CallerState.CLOSED) {
+			return;
+		}
+		this.state = CallerState.EXCHANGE;
+		this.headIncomplete = false;
+		this.server.log().unidentifiedRequestEnded(outcome, error.status().code(), error.detail());
+		sendError(error, "");
+	}
+
 	private void handlePipelined() {
 		if (this.handlingPipelined) {
 			return;
@@ -277,26 +291,26 @@
 		this.keepAlive = valid && HttpUtil.isKeepAlive(head);
 		FullHttpResponse health = (valid) ? this.server.healthResponse(head.uri()) : null;
 		if (health != null) {
-			this.state = State.EXCHANGE;
+			this.state = CallerState.EXCHANGE;
 			setConnectionHeader(health);
 			write(health);
 			responseCompleted();
 			return;
 		}
-		this.state = State.ADMITTING;
+		this.state = CallerState.ADMITTING;
 		this.server.runWhenRulesCurrent(eventLoop(), () -> admit(head));
 	}
 
 	private void admit(HttpRequest head) {
-		if (this.state == State.CLOSED) {
+		if (this.state == CallerState.CLOSED) {
 			return;
 		}
-		this.state = State.EXCHANGE;
+		this.state = CallerState.EXCHANGE;
 		RequestParser.Result result = this.server.checkRequest(head);
 		if (result instanceof RequestParser.Result.Refused refused) {
 			// After a malformed head the decoder may not find the next request.
 			this.keepAlive &= refused.error().type().startsWith("not-run");
-			sendError(refused.error(), "");
+			refuse("refused", refused.error());
 			return;
 		}
 		CallerRequest request = ((RequestParser.Result.Accepted) result).request();
@@ -324,7 +338,7 @@
 				openExchange.body(ByteString.copyFrom(content.content().nioBuffer()), last);
 			}
 		}
-		if (last && this.state == State.DISCARDING) {
+		if (last && this.state == CallerState.DISCARDING) {
 			startNextRequest();
 		}
 	}
@@ -339,10 +353,10 @@
 			return;
 		}
 		this.keepAlive &= this.bodyDiscardable;
-		this.state = State.DISCARDING;
+		this.state = CallerState.DISCARDING;
 		long discardedRequest = this.requestCount;
 		eventLoop().schedule(() -> {
-			if (this.state == State.DISCARDING && this.requestCount == discardedRequest) {
+			if (this.state == CallerState.DISCARDING && this.requestCount == discardedRequest) {
 				channelContext().close();
 			}
 		}, LINGER_MS, TimeUnit.MILLISECONDS);
@@ -352,11 +366,11 @@
 	private void startNextRequest() {
 		recordProgress();
 		if (!this.keepAlive || this.draining) {
-			this.state = State.CLOSED;
+			this.state = CallerState.CLOSED;
 			writer().closeAfterWrites();
 			return;
 		}
-		this.state = State.IDLE;
+		this.state = CallerState.IDLE;
 		if (this.pipelined.isEmpty()) {
 			requestRead();
 		}
@@ -379,20 +393,11 @@
 	}
 
 	private CallerWriter writer() {
-		CallerWriter currentWriter = this.writer;
-		if (currentWriter == null) {
-			throw new IllegalStateException("not in a pipeline");
-		}
-		return currentWriter;
+		return Objects.requireNonNull(this.writer);
 	}
 
 	private void requestRead() {
-		if (this.readPending) {
-			this.readRequested = true;
-			return;
-		}
-		this.readPending = true;
-		channelContext().read();
+		Objects.requireNonNull(this.reads).request();
 	}
 
 	private void recordProgress() {
@@ -401,7 +406,7 @@
 
 	private void scheduleTimeoutCheck() {
 		eventLoop().schedule(() -> {
-			if (this.state != State.CLOSED) {
+			if (this.state != CallerState.CLOSED) {
 				checkTimeouts(this.server.now() - this.lastProgressNanos);
 				scheduleTimeoutCheck();
 			}
@@ -415,15 +420,13 @@
 		}
 		else if (this.headIncomplete && this.server.now() - this.headStartNanos > this.server.readTimeoutNanos()) {
 			this.keepAlive = false;
-			this.state = State.EXCHANGE;
-			this.headIncomplete = false;
-			sendError(ErrorResponse.badRequest(HttpResponseStatus.REQUEST_TIMEOUT, "the head did not arrive in time"),
-					"");
+			refuse("refused",
+					ErrorResponse.badRequest(HttpResponseStatus.REQUEST_TIMEOUT, "the head did not arrive in time"));
 		}
-		else if (this.state == State.IDLE && silentNanos > this.server.idleTimeoutNanos()) {
+		else if (this.state == CallerState.IDLE && silentNanos > this.server.idleTimeoutNanos()) {
 			channelContext().close();
 		}
-		else if (this.state == State.EXCHANGE && !this.bodyComplete && !writeBlocked
+		else if (this.state == CallerState.EXCHANGE && !this.bodyComplete && !writeBlocked
 				&& silentNanos > this.server.readTimeoutNanos() && this.pipelined.isEmpty()) {
 			Exchange openExchange = this.exchange;
 			this.keepAlive = false;
@@ -435,11 +438,7 @@
 	}
 
 	private ChannelHandlerContext channelContext() {
-		ChannelHandlerContext currentContext = this.channelContext;
-		if (currentContext == null) {
-			throw new IllegalStateException("not in a pipeline");
-		}
-		return currentContext;
+		return Objects.requireNonNull(this.channelContext);
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/entry/CallerServer.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerServer.java
@@ -125,6 +125,21 @@
 		this.openConnections.forEach(CallerConnection::drain);
 	}
 
+	/**
+	 * Ends the requests that are open at the end of the process.
+	 * @return number of requests that were open and whose head had been accepted
+	 */
+	int endOpenRequests() {
+		int openRequests = this.forwarder.openExchanges();
+		this.forwarder.log().processEnding();
+		this.openConnections.forEach(CallerConnection::processEnding);
+		return openRequests;
+	}
+
+	RequestLog log() {
+		return this.forwarder.log();
+	}
+
 	boolean closeAnnounced() {
 		return this.closeAnnounced;
 	}
--- a/daemon/src/main/java/org/baobabknot/entry/EntryRole.java
+++ b/daemon/src/main/java/org/baobabknot/entry/EntryRole.java
@@ -90,6 +90,11 @@
 		return completion;
 	}
 
+	@Override
+	public int endOpenRequests() {
+		return this.server.endOpenRequests();
+	}
+
 	@Override
 	public boolean isReady() {
 		return this.started && this.drainFuture.get() == null && this.process.configuration().revision() > 0
--- a/daemon/src/main/java/org/baobabknot/entry/ErrorResponse.java
+++ b/daemon/src/main/java/org/baobabknot/entry/ErrorResponse.java
@@ -27,6 +27,8 @@
 
 	private static final String UNKNOWN = "unknown";
 
+	private static final String INCOMPLETE = "incomplete";
+
 	private static final long MS_PER_SECOND = 1000;
 
 	private static final long DEFAULT_RETRY_AFTER_MS = 1000;
@@ -43,8 +45,30 @@
 		return new ErrorResponse(HttpResponseStatus.GATEWAY_TIMEOUT, UNKNOWN, detail, 0);
 	}
 
+	/**
+	 * Creates the response to a request whose deadline has passed.
+	 * @param sent whether the request may have been sent to an agent
+	 * @return the error response
+	 */
+	static ErrorResponse deadlinePassed(boolean sent) {
+		return (sent) ? unknownOutcome("deadline passed while the request was at an agent")
+				: notRun(RefusalReason.DEADLINE_PASSED, "deadline passed before the request was sent", 0);
+	}
+
+	/**
+	 * Creates the response to a request that the end of this process cuts.
+	 * @param sent whether the request may have been sent to an agent
+	 * @return the error response
+	 */
+	static ErrorResponse processEnded(boolean sent) {
+		return (sent)
+				? new ErrorResponse(HttpResponseStatus.BAD_GATEWAY, UNKNOWN,
+						"this entry ended while the request was at an agent", 0)
+				: notRun(RefusalReason.REFUSED_LEAVING, "this entry ended before the request was sent", 0);
+	}
+
 	static ErrorResponse failed(String detail) {
-		return new ErrorResponse(HttpResponseStatus.BAD_GATEWAY, "incomplete", detail, 0);
+		return new ErrorResponse(HttpResponseStatus.BAD_GATEWAY, INCOMPLETE, detail, 0);
 	}
 
 	/**
@@ -69,6 +93,18 @@
 		return new ErrorResponse(this.status, UNKNOWN, this.detail, 0);
 	}
 
+	/**
+	 * Returns how a request with this response ended, for metrics and log.
+	 * @return one word
+	 */
+	String outcome() {
+		return switch (this.type) {
+			case UNKNOWN -> "unknown";
+			case INCOMPLETE -> "failed";
+			default -> "refused";
+		};
+	}
+
 	FullHttpResponse toHttpResponse(String requestId) {
 		ObjectNode body = JsonNodeFactory.instance.objectNode();
 		body.put("type", "urn:baobabknot:" + this.type);
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.protobuf.ByteString;
 import io.netty.handler.codec.http.HttpResponse;
@@ -48,26 +49,16 @@
 
 	private final ScheduledFuture<?> deadlineTimer;
 
+	private final ExchangeProgress progress;
+
 	private @Nullable AgentAttempt attempt;
 
 	private @Nullable ErrorResponse lastRefusal;
 
-	private int attemptCount;
-
-	private int responseStatus;
-
-	/** Content-Length of the response, -1 without one. */
-	private long responseLength = -1;
-
-	/** Incarnation of the agent of the last attempt. */
-	private long agentIncarnation;
-
 	private boolean attemptsStarted;
 
 	private boolean waitingForCredit;
 
-	private boolean responseStarted;
-
 	private boolean mayHaveRun;
 
 	private boolean done;
@@ -78,7 +69,8 @@
 		this.request = request;
 		this.body = new RequestBody(request.claimsKey());
 		this.candidates = new AgentCandidates(forwarder, request, this.body);
-		long remainingNanos = Math.max(0, request.deadlineNanos() - forwarder.now());
+		this.progress = new ExchangeProgress(forwarder.now());
+		long remainingNanos = Math.max(0, request.deadlineNanos() - this.progress.startNanos());
 		this.deadlineTimer = caller.eventLoop().schedule(this::deadlinePassed, remainingNanos, TimeUnit.NANOSECONDS);
 	}
 
@@ -86,6 +78,10 @@
 		return this.request;
 	}
 
+	ExchangeProgress progress() {
+		return this.progress;
+	}
+
 	boolean done() {
 		return this.done;
 	}
@@ -140,12 +136,7 @@
 		ErrorResponse error = (this.attemptsStarted && !this.request.idempotent()) ? bodyError.withUnknownOutcome()
 				: bodyError;
 		end("refused", "refused by the entry");
-		if (this.responseStarted) {
-			this.caller.abortResponse();
-		}
-		else {
-			this.caller.sendError(error, this.request.idHex());
-		}
+		respondOrAbort(error);
 	}
 
 	void frameReceived(AgentAttempt source, Frame frame) {
@@ -211,20 +202,15 @@
 			this.caller.eventLoop().schedule(this::attempt, AgentCandidates.RECONNECT_POLL_MS, TimeUnit.MILLISECONDS);
 		}
 		else {
-			ErrorResponse error = (this.lastRefusal != null) ? this.lastRefusal
-					: ErrorResponse.notRun(RefusalReason.REFUSED_UNAVAILABLE,
-							"no agent of " + this.request.service() + " accepts requests", 0);
-			end("refused", "");
-			this.caller.sendError(error, this.request.idHex());
+			endWithError(OutcomeMapper.noAgent(this.lastRefusal, this.request.service()));
 		}
 	}
 
 	private void send(Connection connection) {
-		this.attemptCount++;
 		AgentAttempt newAttempt = new AgentAttempt(this, this.caller.eventLoop(), connection.peerName(),
 				this.forwarder.now(), false);
 		this.attempt = newAttempt;
-		this.agentIncarnation = connection.peerHello().getIncarnation();
+		this.progress.attemptStarted(newAttempt.agent(), connection.peerHello().getIncarnation());
 		this.forwarder.attemptStarted(newAttempt.agent());
 		newAttempt.setStream(connection
 			.open(this.forwarder.requestFrame(this.request, this.body, connection, this.forwarder.now()), newAttempt));
@@ -247,7 +233,7 @@
 
 	private void responseHeadReceived(AgentAttempt source, ResponseStart start) {
 		long now = this.forwarder.now();
-		if (this.responseStarted) {
+		if (this.progress.responseStarted()) {
 			failInvalidResponse(source, "second head of an answer");
 			return;
 		}
@@ -257,7 +243,8 @@
 		}
 		if (start.getStatus() >= MIN_SERVER_ERROR_STATUS && this.request.idempotent() && this.body.replayable()) {
 			RetryDecision decision = this.forwarder.retryPolicy()
-				.decide(this.attemptCount, AttemptOutcome.FAILED, true, false, this.request.deadlineNanos(), now);
+				.decide(this.progress.attempts(), AttemptOutcome.FAILED, true, false, this.request.deadlineNanos(),
+						now);
 			if (decision instanceof RetryDecision.Retry retry) {
 				recordResult(source, false);
 				source.cancel("answer has status " + start.getStatus());
@@ -266,34 +253,31 @@
 				return;
 			}
 		}
-		this.responseStarted = true;
-		this.responseStatus = start.getStatus();
 		HttpResponse head = this.forwarder.responseHead(start, this.request);
-		this.responseLength = RequestForwarder.hasNoBody(start.getStatus(), this.request) ? -1
-				: HttpUtil.getContentLength(head, -1L);
+		this.progress.responseStarted(start.getStatus(), RequestForwarder.hasNoBody(start.getStatus(), this.request)
+				? -1 : HttpUtil.getContentLength(head, -1L));
 		this.caller.startResponse(head);
 	}
 
 	private void responseDataReceived(AgentAttempt source, ByteString data) {
-		if (!this.responseStarted) {
+		if (!this.progress.responseStarted()) {
 			failInvalidResponse(source, "body before the head of the answer");
 			return;
 		}
 		source.addReceived(data.size());
-		if (this.responseLength >= 0 && source.received() > this.responseLength) {
-			failInvalidResponse(source, "body longer than its Content-Length of " + this.responseLength);
+		if (this.progress.exceedsLength(source.received())) {
+			failInvalidResponse(source, "body longer than its Content-Length of " + this.progress.length());
 			return;
 		}
 		this.caller.writeBody(data, () -> source.stream().recordConsumed(data.size()));
 	}
 
 	private void responseEndReceived(AgentAttempt source, BodyEnd end) {
-		boolean lengthMatches = this.responseLength < 0 || source.received() == this.responseLength;
-		if (!this.responseStarted || !lengthMatches || end.getLength() != source.received()) {
+		if (!this.progress.isWhole(source.received()) || end.getLength() != source.received()) {
 			failInvalidResponse(source, "body of " + source.received() + " bytes, announced were " + end.getLength());
 			return;
 		}
-		recordResult(source, this.responseStatus < MIN_SERVER_ERROR_STATUS);
+		recordResult(source, this.progress.status() < MIN_SERVER_ERROR_STATUS);
 		source.close();
 		end("whole", "");
 		this.caller.endResponse();
@@ -309,7 +293,7 @@
 		source.close();
 		this.candidates.exclude(source.agent());
 		this.lastRefusal = ErrorResponse.notRun(refused.getReason(), refused.getDetail(), refused.getRetryAfterMs());
-		retryOrGiveUp(source, OutcomeMapper.attemptOutcome(refused, this.attemptCount),
+		retryOrGiveUp(source, OutcomeMapper.attemptOutcome(refused, this.progress.attempts()),
 				refused.getReason() + " at " + source.agent());
 	}
 
@@ -354,7 +338,7 @@
 		this.candidates.exclude(source.agent());
 		boolean bodyReplayable = this.body.replayable();
 		RetryDecision decision = this.forwarder.retryPolicy()
-			.decide(this.attemptCount, outcome, this.request.idempotent(), this.responseStarted,
+			.decide(this.progress.attempts(), outcome, this.request.idempotent(), this.progress.responseStarted(),
 					this.request.deadlineNanos(), this.forwarder.now());
 		if (decision instanceof RetryDecision.Retry retry && bodyReplayable) {
 			scheduleRetry(retry);
@@ -362,19 +346,20 @@
 		else if (decision instanceof RetryDecision.ResolveFirst) {
 			resolve(source.agent());
 		}
-		else if (this.responseStarted) {
+		else if (this.progress.responseStarted()) {
 			end("incomplete", "");
 			this.caller.abortResponse();
 		}
 		else {
-			RetryDecision.Reason reason = (decision instanceof RetryDecision.GiveUp giveUp) ? giveUp.reason()
-					: RetryDecision.Reason.EXHAUSTED;
-			ErrorResponse error = OutcomeMapper.errorResponse(reason, outcome, this.lastRefusal, detail);
-			end((error.type().equals("unknown")) ? "unknown" : "refused", "");
-			this.caller.sendError(error, this.request.idHex());
+			endWithError(OutcomeMapper.errorResponse(decision, outcome, this.lastRefusal, detail));
 		}
 	}
 
+	private void endWithError(ErrorResponse error) {
+		end(error.outcome(), "");
+		this.caller.sendError(error, this.request.idHex());
+	}
+
 	private void scheduleRetry(RetryDecision.Retry retry) {
 		this.attempt = null;
 		if (retry.delayNanos() <= 0) {
@@ -405,7 +390,7 @@
 		}
 		this.attempt = resolveQuery;
 		resolveQuery.setStream(connection
-			.open(this.forwarder.resolveFrame(this.request, this.body, this.agentIncarnation), resolveQuery));
+			.open(this.forwarder.resolveFrame(this.request, this.body, this.progress.incarnation()), resolveQuery));
 	}
 
 	private void recordResult(AgentAttempt source, boolean success) {
@@ -416,20 +401,31 @@
 	}
 
 	private void deadlinePassed() {
+		endEarly("deadline", "deadline passed", ErrorResponse::deadlinePassed);
+	}
+
+	/**
+	 * Ends the request because the process ends.
+	 */
+	void processEnding() {
+		endEarly("process-end", "the entry ends", ErrorResponse::processEnded);
+	}
+
+	private void endEarly(String outcome, String cancelReason, Function<Boolean, ErrorResponse> errorIfSent) {
 		if (this.done) {
 			return;
 		}
 		boolean mayHaveBeenSent = this.attempt != null || this.mayHaveRun;
-		boolean responseWasStarted = this.responseStarted;
-		end("deadline", "deadline passed");
-		if (responseWasStarted) {
+		end(outcome, cancelReason);
+		respondOrAbort(errorIfSent.apply(mayHaveBeenSent));
+	}
+
+	private void respondOrAbort(ErrorResponse error) {
+		if (this.progress.responseStarted()) {
 			this.caller.abortResponse();
 		}
 		else {
-			this.caller.sendError((mayHaveBeenSent)
-					? ErrorResponse.unknownOutcome("deadline passed while the request was at an agent") : ErrorResponse
-						.notRun(RefusalReason.DEADLINE_PASSED, "deadline passed before the request was sent", 0),
-					this.request.idHex());
+			this.caller.sendError(error, this.request.idHex());
 		}
 	}
 
--- a/daemon/src/main/java/org/baobabknot/entry/OutcomeMapper.java
+++ b/daemon/src/main/java/org/baobabknot/entry/OutcomeMapper.java
@@ -1,5 +1,6 @@
 package org.baobabknot.entry;
 
+import org.baobabknot.protocol.generated.RefusalReason;
 import org.baobabknot.protocol.generated.Refused;
 import org.baobabknot.retry.AttemptOutcome;
 import org.baobabknot.retry.RetryDecision;
@@ -28,11 +29,17 @@
 		};
 	}
 
-	static ErrorResponse errorResponse(RetryDecision.Reason reason, AttemptOutcome outcome,
-			@Nullable ErrorResponse refusal, String detail) {
+	static ErrorResponse noAgent(@Nullable ErrorResponse refusal, String service) {
+		return (refusal != null) ? refusal : ErrorResponse.notRun(RefusalReason.REFUSED_UNAVAILABLE,
+				"no agent of " + service + " accepts requests", 0);
+	}
+
+	static ErrorResponse errorResponse(RetryDecision decision, AttemptOutcome outcome, @Nullable ErrorResponse refusal,
+			String detail) {
+		RetryDecision.Reason reason = (decision instanceof RetryDecision.GiveUp giveUp) ? giveUp.reason()
+				: RetryDecision.Reason.EXHAUSTED;
 		if (outcome.notRun() || outcome == AttemptOutcome.REFUSED_EVERYWHERE) {
-			return (refusal != null) ? refusal : ErrorResponse
-				.notRun(org.baobabknot.protocol.generated.RefusalReason.REFUSED_UNAVAILABLE, detail, 0);
+			return (refusal != null) ? refusal : ErrorResponse.notRun(RefusalReason.REFUSED_UNAVAILABLE, detail, 0);
 		}
 		return switch (reason) {
 			case UNKNOWN -> ErrorResponse.unknownOutcome(detail);
--- a/daemon/src/main/java/org/baobabknot/entry/RequestForwarder.java
+++ b/daemon/src/main/java/org/baobabknot/entry/RequestForwarder.java
@@ -48,6 +48,8 @@
 
 	private final EntryMetrics metrics;
 
+	private final RequestLog log;
+
 	private final Set<Exchange> open = ConcurrentHashMap.newKeySet();
 
 	private volatile Runnable onExchangeEnd = () -> {
@@ -57,6 +59,11 @@
 		this.process = process;
 		this.agents = agents;
 		this.metrics = metrics;
+		this.log = new RequestLog(process.requestLog(), metrics);
+	}
+
+	RequestLog log() {
+		return this.log;
 	}
 
 	long now() {
@@ -83,12 +90,7 @@
 
 	void exchangeEnded(Exchange exchange, String outcome) {
 		this.open.remove(exchange);
-		if (outcome.equals("whole")) {
-			this.metrics.completed();
-		}
-		else {
-			this.metrics.ended(outcome);
-		}
+		this.log.requestEnded(exchange.request(), outcome, exchange.progress(), now());
 		this.onExchangeEnd.run();
 	}
 
--- a/daemon/src/test/java/org/baobabknot/daemon/EntryEndTests.java
+++ b/daemon/src/test/java/org/baobabknot/daemon/EntryEndTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -83,6 +84,10 @@
 		}
 	}
 
+	private static long lines(String log, String event) {
+		return log.lines().filter((line) -> line.contains("\"event\":\"" + event + "\"")).count();
+	}
+
 	/** A cut response must not look whole. */
 	@Nested
 	class CutResponses {
@@ -140,4 +145,56 @@
 
 	}
 
+	/** Requests that are open when a stop runs out of time. */
+	@Nested
+	class TimeOver {
+
+		private final Map<String, CompletableFuture<EmulatedCaller.Response>> waiting = new LinkedHashMap<>();
+
+		private List<CompletableFuture<EmulatedCaller.Response>> streams;
+
+		private void sendAll() throws Exception {
+			this.waiting.put("order", send(request("/orders", "HTTP/1.1", 4)));
+			this.waiting.put("body", send(
+					request("/orders", "HTTP/1.1", 8).replace("X-Workspace", "Idempotency-Key: k\r\nX-Workspace")));
+			this.waiting.put("head", send("POST /s/chunks HTTP/1.1\r\nHost: host.ex"));
+			this.streams = sendStreams();
+		}
+
+		private EmulatedCaller.Response response(String name) throws Exception {
+			return this.waiting.get(name).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+		}
+
+		@Test
+		void getAFinalResponseAndALineFromTheEntry() throws Exception {
+			sendAll();
+			Process entry = EntryEndTests.this.fixture.entry;
+			ProcessFixture.signal(entry, "TERM");
+			assertBrokenOff(this.streams);
+			assertThat(response("order").body(), response("order").status(), is(502));
+			assertThat(response("order").body(), containsString("urn:baobabknot:unknown"));
+			for (String name : List.of("body", "head")) {
+				assertThat(name + " " + response(name).body(), response(name).status(), is(503));
+				assertThat(response(name).body(), containsString("urn:baobabknot:not-run:leaving"));
+			}
+			assertThat(entry.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(true));
+			String log = EntryEndTests.this.fixture.readLog("entry");
+			assertThat(log, lines(log, "request-ended"), is(5L));
+		}
+
+		@Test
+		void areEndedByTheAgentWithALine() throws Exception {
+			this.waiting.put("order", send(request("/orders", "HTTP/1.1", 4)));
+			this.streams = sendStreams();
+			Process agent = EntryEndTests.this.fixture.agent;
+			ProcessFixture.signal(agent, "TERM");
+			assertBrokenOff(this.streams);
+			assertThat(response("order").body(), containsString("urn:baobabknot:unknown"));
+			assertThat(agent.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(true));
+			String log = EntryEndTests.this.fixture.readLog("agent");
+			assertThat(log, lines(log, "request-ended"), is(3L));
+		}
+
+	}
+
 }
--- a/daemon/src/test/java/org/baobabknot/gossip/GossipFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gossip/GossipFleet.java
@@ -183,6 +183,11 @@
 			return CompletableFuture.completedFuture(null);
 		}
 
+		@Override
+		public int endOpenRequests() {
+			return 0;
+		}
+
 		@Override
 		public boolean isReady() {
 			return true;
