Don't report a request as not run after an attempt that may have run

Callers of a repeatable request whose agent was killed got 503 (not run) when no other agent accepted it, and when the last of several attempts was refused. Cause: the response followed from the last attempt alone. A request with an earlier attempt that may have run, also one that got a status of 500 or above, is now answered 502 (incomplete).

--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -202,7 +202,7 @@
 			this.caller.eventLoop().schedule(this::attempt, AgentCandidates.RECONNECT_POLL_MS, TimeUnit.MILLISECONDS);
 		}
 		else {
-			endWithError(OutcomeMapper.noAgent(this.lastRefusal, this.request.service()));
+			endWithError(OutcomeMapper.noAgent(this.lastRefusal, this.request.service(), this.mayHaveRun));
 		}
 	}
 
@@ -247,6 +247,7 @@
 						now);
 			if (decision instanceof RetryDecision.Retry retry) {
 				recordResult(source, false);
+				this.mayHaveRun = true;
 				source.cancel("answer has status " + start.getStatus());
 				this.candidates.exclude(source.agent());
 				scheduleRetry(retry);
@@ -351,7 +352,7 @@
 			this.caller.abortResponse();
 		}
 		else {
-			endWithError(OutcomeMapper.errorResponse(decision, outcome, this.lastRefusal, detail));
+			endWithError(OutcomeMapper.errorResponse(decision, outcome, this.mayHaveRun, this.lastRefusal, detail));
 		}
 	}
 
--- a/daemon/src/main/java/org/baobabknot/entry/OutcomeMapper.java
+++ b/daemon/src/main/java/org/baobabknot/entry/OutcomeMapper.java
@@ -29,16 +29,22 @@
 		};
 	}
 
-	static ErrorResponse noAgent(@Nullable ErrorResponse refusal, String service) {
+	static ErrorResponse noAgent(@Nullable ErrorResponse refusal, String service, boolean mayHaveRun) {
+		if (mayHaveRun) {
+			return ErrorResponse.failed("an agent failed while it had the request, and no other one accepts it");
+		}
 		return (refusal != null) ? refusal : ErrorResponse.notRun(RefusalReason.REFUSED_UNAVAILABLE,
 				"no agent of " + service + " accepts requests", 0);
 	}
 
-	static ErrorResponse errorResponse(RetryDecision decision, AttemptOutcome outcome, @Nullable ErrorResponse refusal,
-			String detail) {
+	static ErrorResponse errorResponse(RetryDecision decision, AttemptOutcome outcome, boolean mayHaveRun,
+			@Nullable ErrorResponse refusal, String detail) {
 		RetryDecision.Reason reason = (decision instanceof RetryDecision.GiveUp giveUp) ? giveUp.reason()
 				: RetryDecision.Reason.EXHAUSTED;
 		if (outcome.notRun() || outcome == AttemptOutcome.REFUSED_EVERYWHERE) {
+			if (mayHaveRun) {
+				return ErrorResponse.failed("an earlier attempt may have run; last attempt: " + detail);
+			}
 			return (refusal != null) ? refusal : ErrorResponse.notRun(RefusalReason.REFUSED_UNAVAILABLE, detail, 0);
 		}
 		return switch (reason) {
--- a/daemon/src/test/java/org/baobabknot/daemon/EntryEndTests.java
+++ b/daemon/src/test/java/org/baobabknot/daemon/EntryEndTests.java
@@ -143,6 +143,16 @@
 			assertThat(order.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).body(), containsString("urn:baobabknot:unknown"));
 		}
 
+		// Guards against "not run" for a request that may have run.
+		@Test
+		void aRequestThatMayHaveRunIsNotReportedAsNotRun() throws Exception {
+			CompletableFuture<EmulatedCaller.Response> response = send(request("/silent", "HTTP/1.1", 4));
+			Thread.sleep(1_000);
+			ProcessFixture.signal(EntryEndTests.this.fixture.agent, "KILL");
+			assertThat(response.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).body(),
+					containsString("urn:baobabknot:incomplete"));
+		}
+
 	}
 
 	/** Requests that are open when a stop runs out of time. */
