Close an idle caller's connection only after its last response is written

A caller that read a whole response of 4 MB at 200 kB/s through a stop got 3,948,452 bytes of it. Cause: the response was complete for the entry, but up to 256 KB of it still waited for the socket, when the stop closed the connection as idle. Idle connections are now closed after their writes, and the stop waits for them as before.

--- a/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
@@ -153,7 +153,9 @@
 		eventLoop().execute(() -> {
 			this.draining = true;
 			if (this.state == CallerState.IDLE && !this.headIncomplete && this.pipelined.isEmpty()) {
-				channelContext().close();
+				// The caller may still be reading the last response.
+				this.state = CallerState.CLOSED;
+				writer().closeAfterWrites();
 			}
 		});
 	}
