--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayProcess.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayProcess.java
@@ -42,6 +42,8 @@
 
 	private final int port = TestPorts.findFree();
 
+	private final long shutdownMs;
+
 	private final Path log;
 
 	private final Process process;
@@ -54,6 +56,18 @@
 	 * @throws Exception if it did not start
 	 */
 	GatewayProcess(Path directory, String... jvmOptions) throws Exception {
+		this(directory, SHUTDOWN_MS, jvmOptions);
+	}
+
+	/**
+	 * Starts such a gateway with another time for its stop.
+	 * @param directory directory for its settings and its log
+	 * @param shutdownMs time between SIGTERM and SIGKILL that the settings announce
+	 * @param jvmOptions options of its virtual machine
+	 * @throws Exception if it did not start
+	 */
+	GatewayProcess(Path directory, long shutdownMs, String... jvmOptions) throws Exception {
+		this.shutdownMs = shutdownMs;
 		this.store.putConfiguration(new EmulatedConfiguration(1).route("orders", "unsafe", "plain", 14_000)
 			.route("reads", "safe", "plain", 14_000)
 			.route("texts", "streaming", "models", 14_000)
@@ -99,7 +113,7 @@
 			.put("configurationMs", 2_000)
 			.put("keyMs", 5_000)
 			.put("versionMs", 8_000)
-			.put("shutdownMs", SHUTDOWN_MS)
+			.put("shutdownMs", this.shutdownMs)
 			.put("retryRatio", 0.2)
 			.put("retryWindowMs", 10_000)
 			.put("retryMinimum", 200)
