Take the answer to a loader's call only where something shows it

A loader shared two connections to its engine among reports, staged chunks and orders, and took answers by their order; engines repeat no id on these paths. A late second answer to one order counted as that of the next (202 for an order that the engine had refused with 409), one to a staged chunk as a missing report, one about a chunk as a corrupt one.

A staged chunk counts until all are read back before an order, as before. readStagedChunk takes the digest, which its callers compared.

--- a/daemon/src/main/java/org/baobabknot/loader/LoadOrders.java
+++ b/daemon/src/main/java/org/baobabknot/loader/LoadOrders.java
@@ -10,7 +10,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.provider.EngineClient;
-import org.baobabknot.weights.Digests;
 
 /**
  * Sends load orders, which make an engine load the staged version. The engine does not
@@ -88,13 +87,12 @@
 		List<CompletableFuture<Boolean>> verifications = new ArrayList<>();
 		for (int index = 0; index < chunks; index++) {
 			int chunkIndex = index;
-			verifications.add(this.engine.readStagedChunk(fetch.model(), index).thenApply((bytes) -> {
-				boolean valid = bytes.isPresent()
-						&& Digests.of(bytes.get()).equals(fetch.chunks().manifest().chunkDigests().get(chunkIndex));
-				if (!valid) {
+			String digest = fetch.chunks().manifest().chunkDigests().get(index);
+			verifications.add(this.engine.readStagedChunk(fetch.model(), index, digest).thenApply((bytes) -> {
+				if (bytes.isEmpty()) {
 					fetch.restage(chunkIndex);
 				}
-				return valid;
+				return bytes.isPresent();
 			}));
 		}
 		CompletableFuture.allOf(verifications.toArray(CompletableFuture[]::new)).thenRun(() -> {
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -409,7 +409,7 @@
 	private void recoverStagedChunks(VersionFetch fetch) {
 		for (int index = 0; index < fetch.chunks().manifest().chunkCount(); index++) {
 			int chunkIndex = index;
-			this.engine.readStagedChunk(fetch.model(), index)
+			this.engine.readStagedChunk(fetch.model(), index, fetch.chunks().manifest().chunkDigests().get(index))
 				.thenAccept((bytes) -> bytes.ifPresent((chunk) -> fetch.addStagedChunk(chunkIndex, chunk)));
 		}
 	}
--- a/daemon/src/test/java/org/baobabknot/loader/LoaderTests.java
+++ b/daemon/src/test/java/org/baobabknot/loader/LoaderTests.java
@@ -116,6 +116,18 @@
 		}
 	}
 
+	// Guards against a version that is never ordered because late second answers of the
+	// engine are taken for those of other chunks.
+	@Test
+	void aNewVersionReachesAnEngineThatAnswersTwice() throws Exception {
+		configure();
+		EmulatedEngine engine = startLoader(1, 1);
+		engine.lateControlDuplicates = true;
+		setWantedVersion(2);
+		await(() -> allEnginesRun(2));
+		assertStaged(engine, 2);
+	}
+
 	@Test
 	void aNewVersionReachesAllEnginesWithOneCopyFromTheOrigin() throws Exception {
 		configure();
