--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -7,6 +7,7 @@
 
 import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
+import org.baobabknot.fuzz.FuzzExperiment;
 import org.baobabknot.soak.SoakExperiment;
 
 /**
@@ -41,6 +42,9 @@
 	SOAK("runs gateways under load and overlapping faults drawn from a seed, and checks the rules",
 			SoakExperiment::new),
 
+	/** Mutated answers at the HTTP client. */
+	FUZZ("feeds mutated answers to the HTTP client, whole and in parts, and compares", FuzzExperiment::new),
+
 	/** Goodput and refusals at twice the capacity. */
 	OVERLOAD("loads targets with twice their capacity, with a baseline in the same run", OverloadExperiment::new),
 
