--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -7,6 +7,7 @@
 
 import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
+import org.baobabknot.fuzz.FuzzExperiment;
 import org.baobabknot.soak.SoakExperiment;
 import org.baobabknot.stops.StopsExperiment;
 
@@ -45,6 +46,9 @@
 	/** Stops of gateways under load. */
 	STOPS("stops gateways under load and counts what their callers get", StopsExperiment::new),
 
+	/** Mutated answers at the HTTP client. */
+	FUZZ("feeds mutated answers to the HTTP client, whole and in parts, and compares", FuzzExperiment::new),
+
 	/** Goodput and refusals at twice the capacity. */
 	OVERLOAD("loads targets with twice their capacity, with a baseline in the same run", OverloadExperiment::new),
 
