--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -326,7 +326,6 @@
 		this.lastRequestId = httpRequest.headers().get(PlatformHeaders.requestIdHeader(), "");
 		this.keepAlive = httpRequest.decoderResult().isSuccess() && HttpUtil.isKeepAlive(httpRequest);
 		if (httpRequest.method().equals(HttpMethod.CONNECT)) {
-			// The client codec takes a success as a tunnel, without the body.
 			this.keepAlive = false;
 			reject(ErrorResponse.denied(HttpResponseStatus.METHOD_NOT_ALLOWED, "method-not-supported",
 					"tunnels are not supported"));
@@ -562,9 +561,7 @@
 	// this process is killed.
 	private void resetOnClose() {
 		Channel channel = channelContext().channel();
-		// The options of a closed channel can't be set, which must not look like a
-		// failure
-		// of the target.
+		// Setting an option of a closed channel fails.
 		if (channel.isActive()) {
 			this.resetsOnClose = true;
 			channel.config().setOption(ChannelOption.SO_LINGER, 0);
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -486,9 +486,7 @@
 		if (targetSilent) {
 			attempt.load().avoid(now);
 		}
-		// Silence doesn't show that the target has failed, so its response is only given
-		// up
-		// for another target.
+		// Silence doesn't show that the target has failed: it may go on at any moment.
 		if ((targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
 			attempt.cancel("silent");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
