--- a/benchmarks/src/main/java/org/baobabknot/fuzz/AnswerMutator.java
+++ b/benchmarks/src/main/java/org/baobabknot/fuzz/AnswerMutator.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
+import org.baobabknot.emulator.EngineAnswers;
+
 /**
  * Makes bytes that a target might send, by mutation of answers as targets send them.
  */
@@ -17,22 +19,6 @@
 	/** Longer than any limit of the client for a line or a head. */
 	private static final int LONG_INSERT_BYTES = 40_000;
 
-	private static final String IDENTIFIED = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-1\r\nServer-Load: 3,0,8\r\n";
-
-	private static final List<String> ANSWERS = List.of(
-			IDENTIFIED + "Content-Type: text/plain\r\nContent-Length: 9\r\n\r\nanswer %1$s",
-			IDENTIFIED + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-					+ "10\r\nid: 0\ndata: %1$s\n\n\n\r\n19;x=y\r\nid: 1\ndata: 0123456789ab\n\r\n0\r\n\r\n",
-			IDENTIFIED + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n",
-			IDENTIFIED + "Connection: close\r\n\r\nends with the connection",
-			IDENTIFIED + "Keep-Alive: timeout=5\r\nWeight-Versions: 3\r\nContent-Length: 2\r\n\r\nok",
-			"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: 1\r\n"
-					+ "Content-Length: 0\r\n\r\n",
-			"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
-			"HTTP/1.1 204 No Content\r\nRequest-Id: %s\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nRequest-Id: %s\r\n\r\n",
-			"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
-			"HTTP/1.0 200 OK\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nold");
-
 	private static final List<String> TOKENS = List.of("\r\n", "\n", "\r", "\0", " ", ":", ";", "0\r\n\r\n",
 			"ffffffff\r\n", "-1", "99999999999999999999", "Content-Length: 3\r\n", "Content-Length: 4\r\n",
 			"Transfer-Encoding: chunked\r\n", "Transfer-Encoding: identity\r\n", "Request-Id: a\r\n",
@@ -53,7 +39,7 @@
 		StringBuilder text = new StringBuilder();
 		int answers = 1 + this.random.nextInt(MAX_ANSWERS);
 		for (int count = 0; count < answers; count++) {
-			String answer = ANSWERS.get(this.random.nextInt(ANSWERS.size()));
+			String answer = EngineAnswers.TEXTS.get(this.random.nextInt(EngineAnswers.TEXTS.size()));
 			text.append(String.format(answer, (this.random.nextInt(3) == 0) ? "a" : "b"));
 		}
 		byte[] bytes = text.toString().getBytes(StandardCharsets.ISO_8859_1);
