--- a/core/src/main/java/org/baobabknot/placement/ShutdownWindow.java
+++ b/core/src/main/java/org/baobabknot/placement/ShutdownWindow.java
@@ -121,7 +121,7 @@
 		}
 
 		/**
-		 * Returns what its caller is told.
+		 * Returns the detail of the refusal, for the response.
 		 * @return reason of the refusal, empty if it is admitted
 		 */
 		public String refusal() {
