Log the limits that targets state

A gateway now decodes the limit of a response, keeps it for the start of the target, and writes limit-stated when it changes or can't be read: target, request, what is stated, the limit in force. Nothing is decided by it yet.

A response may arrive after a later one: a lower limit holds at once, a higher one or none only with a response to a request that was sent after the lower one was known (StatedLimit). Emulated engines state limits.

--- a/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
@@ -43,7 +43,7 @@
 	}
 
 	private static Entry event(String target, EventKind kind, double seconds) {
-		return new Entry(target, new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200));
+		return new Entry(target, new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200, Double.POSITIVE_INFINITY));
 	}
 
 	private static SoakRequest request(boolean http10, String id, Map<String, String> headers, String body, End end,
--- a/core/src/main/java/org/baobabknot/placement/StatedAvailability.java
+++ b/core/src/main/java/org/baobabknot/placement/StatedAvailability.java
@@ -2,16 +2,21 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.limit.StatedLimit;
+
 /**
- * What one start of a target has stated about itself in its responses: that it leaves, or
- * that it wants no requests of this process for some time. A statement holds whatever
- * lists and load reports say, until the target starts again. Confined to one thread.
+ * What one start of a target has stated about itself in its responses: that it leaves,
+ * that it wants no requests of this process for some time, or how many it takes from all
+ * processes together. A statement holds whatever lists and load reports say, until the
+ * target starts again. Confined to one thread.
  */
 public final class StatedAvailability {
 
 	/** Longest rest that a target can ask for. */
 	private static final long MAX_REST_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+	private final StatedLimit limit = new StatedLimit();
+
 	private boolean leaving;
 
 	private boolean rested;
@@ -58,6 +63,14 @@
 		return (leftNanos <= 0) ? 0 : TimeUnit.NANOSECONDS.toMillis(leftNanos + TimeUnit.MILLISECONDS.toNanos(1) - 1);
 	}
 
+	/**
+	 * Returns the limit that the target has stated.
+	 * @return the limit, which responses change
+	 */
+	public StatedLimit limit() {
+		return this.limit;
+	}
+
 	/**
 	 * Returns whether the target may get requests.
 	 * @param nowNanos monotonic time
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -349,6 +349,16 @@
 		this.log.responseUnmatched(attempt, response, owner);
 	}
 
+	/**
+	 * Called when a target has changed the limit that it states, or states something else
+	 * in its place.
+	 * @param attempt the attempt
+	 * @param response decoded head of the response
+	 */
+	void limitStated(TargetAttempt attempt, TargetResponseHead response) {
+		this.log.limitStated(attempt, response);
+	}
+
 	/**
 	 * Called when a complete response other than a stream was received.
 	 * @param attempt the attempt
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -1,7 +1,10 @@
 package org.baobabknot.gateway;
 
 import org.baobabknot.httpclient.HttpClient;
+import org.baobabknot.limit.LimitStatement;
+import org.baobabknot.limit.StatedLimit;
 import org.baobabknot.placement.TargetLoad;
+import org.baobabknot.provider.LimitField;
 import org.baobabknot.provider.TargetResponseHead;
 import org.baobabknot.provider.TargetRunCheck;
 
@@ -35,11 +38,14 @@
 	 * connection to a target which accepts none any more go to other targets.
 	 * @param response head of the response; of one whose address belongs to another
 	 * target, nothing is recorded
+	 * @param matched whether the response is shown to belong to the request
+	 * @param sentNanos monotonic time at which the request was sent
 	 * @param nowNanos monotonic time
+	 * @return whether the limit of the target has changed
 	 */
-	void recordStatements(TargetResponseHead response, long nowNanos) {
+	boolean recordStatements(TargetResponseHead response, boolean matched, long sentNanos, long nowNanos) {
 		if (response.misdirected()) {
-			return;
+			return false;
 		}
 		if (response.leaving()) {
 			this.load.availability().recordLeaving();
@@ -48,6 +54,20 @@
 		if (!this.load.availability().acceptsRequests(nowNanos)) {
 			this.client.withdrawWaiting("the target leaves or rests");
 		}
+		return recordLimit(response, matched, sentNanos, nowNanos);
+	}
+
+	// Without a limit, only a response of the target itself to this request shows that it
+	// states none any more.
+	private boolean recordLimit(TargetResponseHead response, boolean matched, long sentNanos, long nowNanos) {
+		LimitField field = response.limit();
+		StatedLimit limit = this.load.availability().limit();
+		boolean shown = switch (field.kind()) {
+			case STATED -> matched || field.ratePerSecond() < limit.ratePerSecond();
+			case ABSENT -> matched && (response.signed() || response.notRun());
+			case UNREADABLE -> false;
+		};
+		return shown && limit.merge(new LimitStatement(field.ratePerSecond(), sentNanos, nowNanos));
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -12,6 +12,7 @@
 import org.baobabknot.httpclient.ResponseListener;
 import org.baobabknot.httpclient.ResponseOwner;
 import org.baobabknot.placement.TargetLoad;
+import org.baobabknot.provider.LimitField;
 import org.baobabknot.provider.PlatformHeaders;
 import org.baobabknot.provider.TargetResponseHead;
 import org.jspecify.annotations.Nullable;
@@ -175,7 +176,11 @@
 			this.load.recordResponseLoad(
 					receivedResponse.runningRequests() + Math.max(0, receivedResponse.queuedRequests()), now);
 		}
-		this.pooledTarget.recordStatements(receivedResponse, now);
+		boolean matched = !this.requestId.isEmpty() && this.requestId.equals(receivedResponse.requestId());
+		if (this.pooledTarget.recordStatements(receivedResponse, matched, this.sentNanos, now)
+				|| receivedResponse.limit().kind() == LimitField.Kind.UNREADABLE) {
+			this.request.limitStated(this, receivedResponse);
+		}
 		this.load.version(receivedResponse.version());
 		this.load.recordFirstByte(this, now);
 		if (receivedHead.isCloseDelimited()) {
--- a/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -98,6 +99,21 @@
 
 	}
 
+	@Nested
+	class Limit {
+
+		@ParameterizedTest
+		@CsvSource({ "1.7, STATED, 1.7", "-3, UNREADABLE, Infinity" })
+		void isLogged(String value, String states, String rate) throws Exception {
+			addTarget("t1").limitPerSecond = value;
+			TargetStatementTests.this.fixture.start();
+			served(1, "first");
+			GatewayFixture.await(() -> TargetStatementTests.this.fixture.logOutput.toString()
+				.contains("\"states\":\"" + states + "\",\"perSecond\":\"" + rate + "\""));
+		}
+
+	}
+
 	@Nested
 	class Rest {
 
