--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -77,6 +77,14 @@
 		return new FleetSettings.HostPort("127.0.0.1", TestPorts.findFree());
 	}
 
+	/**
+	 * Returns the event loops of the store, which targets may share.
+	 * @return the group
+	 */
+	EventLoopGroup targetGroup() {
+		return this.storeGroup;
+	}
+
 	void configure(EmulatedConfiguration configuration) {
 		this.store.putConfiguration(configuration);
 	}
