Keep the limits that targets state together with all entries

Cause: no process acted on the statement; the class is a limit that many processes share, of which each knows only its own requests.

Each request to such a target needs a permit. One entry of the target's region issues them (IssuerRanking, rendezvous hash), at the limited rate (PermitIssuer, PermitSchedule); a permit is for the request that asks, valid for 0.2 s, and may be reserved within what is left of the request's objective. So the callers may be at any gateway. The first issuer issues the whole limit only while it is shown that no other one does: its registration holds, its list is recent, the entries of its region have confirmed it or had time to read the list. Else, and as a second one where the first does not reply, a fifth. Who has no permit goes to another target, or is refused at once as limited. Requests that wait for a connection are withdrawn when a limit begins; that is no fault of the target any more.

--- a/core/src/main/java/org/baobabknot/fleet/FleetView.java
+++ b/core/src/main/java/org/baobabknot/fleet/FleetView.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +46,8 @@
 
 	private int maxEntries;
 
+	private long entriesReadNanos;
+
 	private Set<String> domainsOut = Set.of();
 
 	private @Nullable FleetConfiguration configuration;
@@ -252,12 +255,22 @@
 	}
 
 	/**
-	 * Records the number of entries after all registrations have been read.
+	 * Records that all registrations have been read.
+	 * @param nowNanos monotonic time
 	 */
-	public void recordEntryCount() {
+	public void recordEntriesRead(long nowNanos) {
+		this.entriesReadNanos = nowNanos;
 		this.maxEntries = Math.max(this.maxEntries, this.entries.size());
 	}
 
+	/**
+	 * Returns when all registrations were last read.
+	 * @return monotonic time, nothing before the first time
+	 */
+	public OptionalLong entriesReadNanos() {
+		return (this.maxEntries > 0) ? OptionalLong.of(this.entriesReadNanos) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns the number of entries among which a limit of the fleet is divided. It is
 	 * the largest number read so far, because registrations expire during an outage of
--- /dev/null
+++ b/core/src/main/java/org/baobabknot/limit/PermitSchedule.java
@@ -0,0 +1,57 @@
+package org.baobabknot.limit;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Times at which the permits of one issuer for one target become valid, so that they
+ * follow each other at the limited rate. A permit may be reserved before it is valid; one
+ * that nobody wanted is not made up for. Confined to one thread.
+ */
+final class PermitSchedule {
+
+	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+	private boolean used;
+
+	private double ratePerSecond;
+
+	private long nextNanos;
+
+	/**
+	 * Issues permits that become valid together.
+	 * @param rate permits per second, greater than 0
+	 * @param permits number of permits
+	 * @param maxWaitNanos longest time until they become valid, in ns
+	 * @param nowNanos monotonic time
+	 * @return monotonic time from which they are valid, or nothing if that is too late
+	 */
+	OptionalLong tryIssue(double rate, int permits, long maxWaitNanos, long nowNanos) {
+		applyRate(rate, nowNanos);
+		long validNanos = nowNanos + waitNanos(nowNanos);
+		if (validNanos - nowNanos > maxWaitNanos) {
+			return OptionalLong.empty();
+		}
+		this.nextNanos = validNanos + (long) (permits * NANOS_PER_SECOND / rate);
+		this.used = true;
+		return OptionalLong.of(validNanos);
+	}
+
+	/**
+	 * Returns the time until the next permit becomes valid.
+	 * @param nowNanos monotonic time
+	 * @return time in ns, 0 if it is valid at once
+	 */
+	long waitNanos(long nowNanos) {
+		return (this.used) ? Math.max(0, this.nextNanos - nowNanos) : 0;
+	}
+
+	// A changed rate also changes what is left of the current interval.
+	private void applyRate(double rate, long nowNanos) {
+		if (this.used && rate != this.ratePerSecond) {
+			this.nextNanos = nowNanos + (long) (waitNanos(nowNanos) * this.ratePerSecond / rate);
+		}
+		this.ratePerSecond = rate;
+	}
+
+}
--- a/core/src/main/java/org/baobabknot/placement/Candidate.java
+++ b/core/src/main/java/org/baobabknot/placement/Candidate.java
@@ -12,4 +12,13 @@
  * @param sameRegion whether it is in the region of this process
  */
 public record Candidate(TargetRecord target, TargetLoad load, boolean cold, boolean sameDomain, boolean sameRegion) {
+
+	/**
+	 * Returns whether the target states a limit, so that a request to it needs a permit.
+	 * @return whether it does
+	 */
+	public boolean limited() {
+		return this.load.availability().limit().limited();
+	}
+
 }
--- a/core/src/main/java/org/baobabknot/placement/Placement.java
+++ b/core/src/main/java/org/baobabknot/placement/Placement.java
@@ -15,11 +15,6 @@
  */
 public final class Placement {
 
-	/**
-	 * Part of the remaining objective that the predicted time to the first byte may use.
-	 */
-	private static final double MAX_OBJECTIVE_RATIO = 0.85;
-
 	/**
 	 * Requests in excess of its slots that are sent to a target, so that it has work when
 	 * a request ends.
@@ -149,18 +144,25 @@
 	// all requests behind them.
 	private static double freeSlotRatio(List<Candidate> candidates, RequestEstimate estimate, long nowNanos) {
 		double freeSlots = 0;
+		double limitedPerSecond = 0;
 		boolean anyAccepting = false;
 		for (Candidate candidate : candidates) {
 			if (candidate.load().avoided(nowNanos) || candidate.load().notAccepting(nowNanos)) {
 				continue;
 			}
+			// Permits keep the sum of all processes, so that nothing is left to chance.
+			if (candidate.limited()) {
+				limitedPerSecond += candidate.load().availability().limit().ratePerSecond();
+				continue;
+			}
 			anyAccepting = true;
 			double slots = candidate.target().slots();
 			double endingRequests = slots * REPORT_DELAY_MS / Math.max(1, estimate.occupancyMs());
 			freeSlots += Math.max(0,
 					slots + SPARE_REQUESTS - candidate.load().estimatedRequests(nowNanos) + endingRequests);
 		}
-		double competingRequests = estimate.requestsPerSecond() * REPORT_DELAY_MS / TimeUnit.SECONDS.toMillis(1);
+		double competingRequests = (estimate.requestsPerSecond() - limitedPerSecond) * REPORT_DELAY_MS
+				/ TimeUnit.SECONDS.toMillis(1);
 		return (!anyAccepting || competingRequests <= 0) ? 1 : freeSlots / competingRequests;
 	}
 
@@ -174,6 +176,7 @@
 		double bestScore = Double.MAX_VALUE;
 		double bestFirstByteMs = 0;
 		double minWaitMs = Double.MAX_VALUE;
+		double minPermitWaitMs = Double.MAX_VALUE;
 		boolean coldRateExceeded = false;
 		for (Candidate candidate : candidates) {
 			if (candidate.cold() && coldRatePerSecond > 0
@@ -181,13 +184,18 @@
 				coldRateExceeded = true;
 				continue;
 			}
-			double waitMs = waitMs(candidate, estimate, nowNanos);
+			double permitWaitMs = candidate.load().permitWaitMs(nowNanos);
+			if (permitWaitMs > 0 && permitWaitMs > estimate.maxPermitWaitMs(0)) {
+				minPermitWaitMs = Math.min(minPermitWaitMs, permitWaitMs);
+				continue;
+			}
+			double waitMs = waitMs(candidate, estimate, nowNanos) + permitWaitMs;
 			double firstByteMs = waitMs + estimate.firstByteMs() * candidate.load().slowness(nowNanos)
 					+ Math.max(candidate.load().lagMs(nowNanos), candidate.load().linkDelayMs(nowNanos));
 			minWaitMs = Math.min(minWaitMs, waitMs);
 			boolean hasFreeSlot = candidate.load().estimatedRequests(nowNanos) < candidate.target().slots()
 					+ SPARE_REQUESTS;
-			if (!hasFreeSlot && firstByteMs > estimate.objectiveLeftMs() * MAX_OBJECTIVE_RATIO) {
+			if (!hasFreeSlot && firstByteMs > estimate.objectiveLeftMs() * RequestEstimate.MAX_OBJECTIVE_RATIO) {
 				continue;
 			}
 			// The noise amounts to about one request at the target, by which processes
@@ -202,6 +210,9 @@
 			}
 		}
 		if (best == null) {
+			if (minPermitWaitMs != Double.MAX_VALUE && minWaitMs == Double.MAX_VALUE) {
+				return new PlacementResult.LimitsReached(minPermitWaitMs);
+			}
 			if (minWaitMs == Double.MAX_VALUE && !coldRateExceeded) {
 				return new PlacementResult.NoTarget();
 			}
--- a/core/src/main/java/org/baobabknot/placement/PlacementResult.java
+++ b/core/src/main/java/org/baobabknot/placement/PlacementResult.java
@@ -30,6 +30,14 @@
 	record TargetsResting(long waitMs) implements PlacementResult {
 	}
 
+	/**
+	 * The request is refused because the targets state limits that are used up.
+	 *
+	 * @param waitMs time until one of them may take a request, in ms
+	 */
+	record LimitsReached(double waitMs) implements PlacementResult {
+	}
+
 	/**
 	 * The request may be sent to no target.
 	 */
--- a/core/src/main/java/org/baobabknot/placement/RequestEstimate.java
+++ b/core/src/main/java/org/baobabknot/placement/RequestEstimate.java
@@ -13,4 +13,21 @@
  */
 public record RequestEstimate(double firstByteMs, double occupancyMs, double objectiveLeftMs, double callerLeftMs,
 		double requestsPerSecond) {
+
+	/**
+	 * Part of the remaining objective that the predicted time to the first byte may use.
+	 */
+	static final double MAX_OBJECTIVE_RATIO = 0.85;
+
+	/**
+	 * Returns how long the request may wait for a permit of a target that states a limit.
+	 * Less urgent requests wait for a shorter time, so that they get a permit only while
+	 * few others wait for one.
+	 * @param urgency rank of the request, 0 is the most urgent
+	 * @return time in ms, 0 if only a permit that is valid at once is of use
+	 */
+	public double maxPermitWaitMs(int urgency) {
+		return Math.max(0, this.objectiveLeftMs * MAX_OBJECTIVE_RATIO - this.firstByteMs) / (1 + Math.max(0, urgency));
+	}
+
 }
--- a/core/src/main/java/org/baobabknot/placement/RetryAfter.java
+++ b/core/src/main/java/org/baobabknot/placement/RetryAfter.java
@@ -35,8 +35,9 @@
 	},
 
 	/**
-	 * All targets have asked for a rest. A retry before its end is refused again, so
-	 * callers retry after it, or as late as leaves time for the retry to complete.
+	 * All targets have asked for a rest, or their limits are used up. A retry before the
+	 * end of the wait is refused again, so callers retry after it, or as late as leaves
+	 * time for the retry to complete.
 	 */
 	AFTER_REST {
 		@Override
--- a/core/src/main/java/org/baobabknot/placement/TargetLoad.java
+++ b/core/src/main/java/org/baobabknot/placement/TargetLoad.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.limit.PermitHolder;
+
 /**
  * Load and health of one target as this process estimates them, from its own requests,
  * from the load reported with responses and from the reports of the target's loader.
@@ -56,6 +58,8 @@
 
 	private final ColdRateLimiter coldRateLimiter = new ColdRateLimiter();
 
+	private final PermitHolder permits = new PermitHolder();
+
 	private final StatedAvailability availability;
 
 	private final Map<Object, ExpectedFirstByte> awaitingFirstByte = new LinkedHashMap<>();
@@ -133,6 +137,24 @@
 		return this.availability;
 	}
 
+	/**
+	 * Returns the permits of this process for a target that states a limit.
+	 * @return the permits
+	 */
+	public PermitHolder permits() {
+		return this.permits;
+	}
+
+	/**
+	 * Returns the time until this process may send a request without exceeding the limit
+	 * that the target states.
+	 * @param nowNanos monotonic time
+	 * @return time in ms, 0 without a limit
+	 */
+	public double permitWaitMs(long nowNanos) {
+		return (this.availability.limit().limited()) ? this.permits.waitMs(nowNanos) : 0;
+	}
+
 	/**
 	 * Counts a request that is sent to the target.
 	 * @param nowNanos monotonic time
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import org.baobabknot.placement.RetryAfter;
 import org.baobabknot.placement.ShutdownWindow;
 import org.baobabknot.protocol.generated.PartReport;
+import org.baobabknot.protocol.generated.PermitMessage;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.EntryRegistration;
 import org.baobabknot.provider.FleetFeed;
@@ -132,6 +133,8 @@
 
 	private final RequestGuard requestGuard;
 
+	private final SharedLimits sharedLimits;
+
 	private final TargetSelection selection;
 
 	private final ServiceTraffic traffic;
@@ -204,7 +207,10 @@
 		this.targetPool = new TargetPool(this.loop, this.view);
 		this.requestGuard = new RequestGuard(settings.instance(), this.loop, log, this.random,
 				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
-		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard),
+		this.sharedLimits = new SharedLimits(self, this.loop, this.random,
+				new SharedLimits.Peers(this::otherEntries, this::sendPermits), this.view::limitDivisor,
+				this.targetPool::findLimit);
+		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard, this.sharedLimits),
 				this::otherEntriesOfRegion);
 		this.selection = new TargetSelection(settings, this.view, this.targetPool,
 				new Placement(PlacementSettings.defaults(), this.random));
@@ -249,6 +255,7 @@
 				return;
 			}
 			this.ready = false;
+			this.sharedLimits.leave();
 			this.registration.stop();
 			long drainMs = (long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO);
 			ShutdownWindow window = new ShutdownWindow(signalNanos + BALANCER_LAG_MS * NANOS_PER_MS,
@@ -449,6 +456,10 @@
 		return this.requestGuard;
 	}
 
+	SharedLimits sharedLimits() {
+		return this.sharedLimits;
+	}
+
 	PooledTarget pooledTarget(TargetRecord target) {
 		return this.targetPool.pooledTarget(target);
 	}
@@ -531,6 +542,10 @@
 			.toList();
 	}
 
+	private void sendPermits(PermitMessage message, List<EntryRecord> recipients) {
+		this.loadReceiver.sendPermits(message, recipients);
+	}
+
 	private void sendReport(PartReport report, List<EntryRecord> recipients) {
 		this.loadReceiver.send(report, recipients);
 	}
@@ -539,6 +554,7 @@
 		long now = System.nanoTime();
 		long wallMs = System.currentTimeMillis();
 		this.loopDelay.recordRun(now);
+		guard("update-limits", () -> updateLimits(now));
 		if (this.view.freshness().hasJumped(now, wallMs)) {
 			this.feed.confirmNow();
 		}
@@ -561,6 +577,14 @@
 		guard("continue-stop", this::continueStop);
 	}
 
+	private void updateLimits(long now) {
+		this.view.entriesReadNanos()
+			.ifPresent((readNanos) -> this.sharedLimits.ranking().recordList(this.view.entries(), readNanos));
+		this.registration.heldUntilNanos()
+			.ifPresent((untilNanos) -> this.sharedLimits.ranking().recordRegistration(untilNanos, now));
+		this.sharedLimits.announce();
+	}
+
 	private void changed(String kind, String detail) {
 		this.log.line(DecisionLog.Importance.STATE, kind).with("detail", detail).with("ageMs", viewAgeMs()).write();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -69,6 +69,9 @@
 
 	private final Set<String> triedTargets = new HashSet<>();
 
+	/** Targets whose limits are used up for this request. */
+	private final Set<String> limitedTargets = new HashSet<>();
+
 	private final RequestScreening screening;
 
 	private final CallerStream stream;
@@ -178,7 +181,18 @@
 		}
 		PlacementResult result = chooseTarget(now);
 		if (result instanceof PlacementResult.TargetChosen chosen) {
-			send(chosen, remainingMs, now);
+			if (chosen.candidate().limited()) {
+				acquirePermit(chosen, now);
+			}
+			else {
+				send(chosen, remainingMs, now);
+			}
+		}
+		else if (result instanceof PlacementResult.LimitsReached reached) {
+			refuseLimited(reached.waitMs());
+		}
+		else if (result instanceof PlacementResult.NoTarget && !this.limitedTargets.isEmpty()) {
+			refuseLimited(0);
 		}
 		else if (result instanceof PlacementResult.TargetsBusy busy) {
 			refuse("busy", "predicted wait " + Math.round(busy.waitMs()) + " ms", RetryAfter.LATER, busy.waitMs());
@@ -192,13 +206,35 @@
 		}
 	}
 
+	// Many requests wait for the same limits, so that their callers come back later, and
+	// not all at once.
+	private void refuseLimited(double waitMs) {
+		refuse("limited", "the limits that targets state are used up for " + Math.round(waitMs) + " ms",
+				RetryAfter.AFTER_REST, waitMs);
+	}
+
+	private void acquirePermit(PlacementResult.TargetChosen chosen, long now) {
+		SharedLimits.LimitedTarget target = this.gateway.pooledTarget(chosen.candidate().target()).limitedTarget();
+		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
+		double maxWaitMs = estimate(admitted.route(), admitted.service(), now,
+				(this.deadlineNanos - now) / NANOS_PER_MS)
+			.maxPermitWaitMs(admitted.urgency());
+		this.gateway.sharedLimits().acquire(target, Math.round(maxWaitMs), new PermitOutcome(chosen, target));
+	}
+
 	private PlacementResult chooseTarget(long now) {
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		ServiceDefinition service = admitted.service();
 		return this.gateway.selection()
-			.choose(new TargetSelection.Query(service, this.head.model(), admitted.regions(), this.triedTargets,
-					trialPlacement(), this.screening.suspectedContents()),
-					estimate(admitted.route(), service, now, (this.deadlineNanos - now) / NANOS_PER_MS));
+			.choose(query(),
+					estimate(admitted.route(), admitted.service(), now, (this.deadlineNanos - now) / NANOS_PER_MS));
+	}
+
+	private TargetSelection.Query query() {
+		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
+		Set<String> excluded = new HashSet<>(this.triedTargets);
+		excluded.addAll(this.limitedTargets);
+		return new TargetSelection.Query(admitted.service(), this.head.model(), admitted.regions(), excluded,
+				trialPlacement(), this.screening.suspectedContents());
 	}
 
 	private TrialPlacement trialPlacement() {
@@ -251,15 +287,16 @@
 		}
 		this.currentAttempt = null;
 		long now = System.nanoTime();
-		if (!cause.reachesTarget() || attempt.load().estimatedRequests(now) < attempt.target().slots()) {
+		if (cause.showsFault()
+				|| (cause.reachesTarget() && attempt.load().estimatedRequests(now) < attempt.target().slots())) {
 			attempt.load().recordFailure(now);
 		}
-		if (!cause.reachesTarget()) {
+		if (cause.showsFault()) {
 			// The target can't be reached or another one has its address. It stays listed
 			// until its entry expires.
 			attempt.load().avoid(now);
 		}
-		else {
+		else if (cause.reachesTarget()) {
 			attempt.load()
 				.recordResponseLoad(Math.max(attempt.target().slots() * 2, (int) attempt.load().estimatedRequests(now)),
 						now);
@@ -356,6 +393,7 @@
 	 * @param response decoded head of the response
 	 */
 	void limitStated(TargetAttempt attempt, TargetResponseHead response) {
+		this.gateway.sharedLimits().limitChanged(attempt.pooledTarget().limitedTarget());
 		this.log.limitStated(attempt, response);
 	}
 
@@ -506,7 +544,7 @@
 
 	private boolean canContinueElsewhere(long now) {
 		return hasTimeToRetry() && this.gateway.traffic().allowsRetry(service().name(), now)
-				&& chooseTarget(now) instanceof PlacementResult.TargetChosen;
+				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
 	}
 
 	/**
@@ -588,6 +626,46 @@
 				(admitted != null) ? admitted.urgency() : -1), this.head, lastAttempt);
 	}
 
+	/**
+	 * Continues the request when it is decided whether its target takes it.
+	 */
+	private final class PermitOutcome implements SharedLimits.Outcome {
+
+		private final PlacementResult.TargetChosen chosen;
+
+		private final SharedLimits.LimitedTarget target;
+
+		PermitOutcome(PlacementResult.TargetChosen chosen, SharedLimits.LimitedTarget target) {
+			this.chosen = chosen;
+			this.target = target;
+		}
+
+		@Override
+		public void granted() {
+			long now = System.nanoTime();
+			long remainingMs = (GatewayRequest.this.deadlineNanos - now) / NANOS_PER_MS;
+			boolean allowed = GatewayRequest.this.gateway.selection()
+				.allows(query(), this.chosen.candidate().target(), now);
+			if (GatewayRequest.this.done || !allowed || remainingMs < MIN_ATTEMPT_MS) {
+				this.target.permits().add(1, now);
+				if (!GatewayRequest.this.done) {
+					startAttempt();
+				}
+				return;
+			}
+			send(this.chosen, remainingMs, now);
+		}
+
+		@Override
+		public void denied() {
+			if (!GatewayRequest.this.done) {
+				GatewayRequest.this.limitedTargets.add(this.chosen.candidate().target().id());
+				startAttempt();
+			}
+		}
+
+	}
+
 	/**
 	 * Continues the request when it is decided whether it may run.
 	 */
--- a/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/LoadReceiver.java
@@ -25,6 +25,7 @@
 import org.baobabknot.protocol.generated.Admission;
 import org.baobabknot.protocol.generated.LoadReport;
 import org.baobabknot.protocol.generated.PartReport;
+import org.baobabknot.protocol.generated.PermitMessage;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -110,9 +111,26 @@
 		}
 	}
 
+	/**
+	 * Sends a message about limits. Does nothing before the port is bound.
+	 * @param message the message
+	 * @param recipients the entries that receive it
+	 */
+	void sendPermits(PermitMessage message, List<EntryRecord> recipients) {
+		Channel boundChannel = this.channel;
+		if (boundChannel != null) {
+			LoadReport report = LoadReport.newBuilder().setPermits(message).build();
+			recipients.forEach((recipient) -> write(boundChannel, report,
+					new InetSocketAddress(recipient.host(), recipient.port())));
+		}
+	}
+
 	private static void send(Channel channel, PartReport report, InetSocketAddress recipient) {
-		byte[] bytes = LoadReport.newBuilder().setParts(report).build().toByteArray();
-		channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), recipient));
+		write(channel, LoadReport.newBuilder().setParts(report).build(), recipient);
+	}
+
+	private static void write(Channel channel, LoadReport report, InetSocketAddress recipient) {
+		channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(report.toByteArray()), recipient));
 	}
 
 	@Override
@@ -124,6 +142,11 @@
 						(response) -> send(context.channel(), response, packet.sender()));
 				return;
 			}
+			if (report.hasPermits()) {
+				this.listener.permitsReported(report.getPermits(), (response) -> write(context.channel(),
+						LoadReport.newBuilder().setPermits(response).build(), packet.sender()));
+				return;
+			}
 			if (report.getProbe() != 0) {
 				echoProbe(context, packet, report);
 				return;
@@ -237,6 +260,13 @@
 		 */
 		void partsReported(PartReport report, Consumer<PartReport> reply);
 
+		/**
+		 * Called for each message about limits.
+		 * @param message the message
+		 * @param reply sends a message back to the sender
+		 */
+		void permitsReported(PermitMessage message, Consumer<PermitMessage> reply);
+
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/NotRunCause.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/NotRunCause.java
@@ -31,6 +31,24 @@
 		}
 	},
 
+	/** It was withdrawn before it was sent, because of what the target has stated. */
+	WITHDRAWN {
+		@Override
+		boolean reachesTarget() {
+			return false;
+		}
+
+		@Override
+		boolean costsTarget() {
+			return false;
+		}
+
+		@Override
+		boolean showsFault() {
+			return false;
+		}
+	},
+
 	/** Nothing runs at the address of the target, which costs a few ms and no target. */
 	CONNECTION_REFUSED {
 		@Override
@@ -56,4 +74,12 @@
 	 */
 	abstract boolean costsTarget();
 
+	/**
+	 * Returns whether the target can't be reached at its address.
+	 * @return whether it is avoided for some time
+	 */
+	boolean showsFault() {
+		return !reachesTarget();
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -17,9 +17,10 @@
  * @param load load and health of the target
  * @param crashProbe finds out whether the target has crashed
  * @param runCheck shows that this start of the target still runs
+ * @param limitedTarget the limit that it states, and the permits of this process
  */
 record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe,
-		TargetRunCheck runCheck) {
+		TargetRunCheck runCheck, SharedLimits.LimitedTarget limitedTarget) {
 
 	/**
 	 * Finds out whether the target has crashed after a connection was lost, so that no
@@ -67,7 +68,12 @@
 			case ABSENT -> matched && (response.signed() || response.notRun());
 			case UNREADABLE -> false;
 		};
-		return shown && limit.merge(new LimitStatement(field.ratePerSecond(), sentNanos, nowNanos));
+		boolean limitedBefore = limit.limited();
+		boolean changed = shown && limit.merge(new LimitStatement(field.ratePerSecond(), sentNanos, nowNanos));
+		if (limit.limited() && !limitedBefore) {
+			this.client.withdrawWaiting("the target states a limit");
+		}
+		return changed;
 	}
 
 }
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -305,6 +305,9 @@
 				this.load.recordConnectionRefused(System.nanoTime());
 				this.request.attemptNotRun(this, failure.toString(), NotRunCause.CONNECTION_REFUSED);
 			}
+			else if (failure.kind() == HttpFailure.Kind.WITHDRAWN) {
+				this.request.attemptNotRun(this, failure.toString(), NotRunCause.WITHDRAWN);
+			}
 			else {
 				this.request.attemptNotRun(this, failure.toString(), NotRunCause.NOT_DELIVERED);
 			}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.channel.EventLoopGroup;
 import org.baobabknot.fleet.FleetView;
 import org.baobabknot.fleet.ServiceDefinition;
@@ -15,6 +16,7 @@
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.httpclient.ResponseMatching;
+import org.baobabknot.limit.StatedLimit;
 import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
 import org.baobabknot.provider.TargetRunCheck;
@@ -48,6 +50,8 @@
 
 	private final Map<String, PooledTarget> byAddress = new HashMap<>();
 
+	private final Map<Long, PooledTarget> byStart = new HashMap<>();
+
 	/** Statements of starts of targets that are not in use, the newest ones. */
 	private final Map<String, StatedAvailability> retained = new LinkedHashMap<>() {
 		@Override
@@ -75,6 +79,7 @@
 		if (existing != null) {
 			existing.client().close();
 			retainStatements(target.id(), existing);
+			this.byStart.remove(existing.limitedTarget().key());
 		}
 		HttpClient client = new HttpClient(
 				this.group, target.host(), target.port(), new HttpClientSettings(maxConnections(target),
@@ -82,9 +87,13 @@
 				ConnectionHook.NONE);
 		StatedAvailability availability = this.retained.getOrDefault(startOf(target.id(), target.startedMs()),
 				new StatedAvailability());
-		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client,
-				new TargetLoad(availability), new CrashProbe(client), runCheck(client, target));
+		TargetLoad load = new TargetLoad(availability);
+		long start = Hashing.komihash5_0().hashCharsToLong(startOf(target.id(), target.startedMs()));
+		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client, load,
+				new CrashProbe(client), runCheck(client, target), new SharedLimits.LimitedTarget(start,
+						this.view.region(target.domain()), availability.limit(), load.permits()));
 		this.pooledTargets.put(target.id(), created);
+		this.byStart.put(start, created);
 		this.byAddress.put(created.address(), created);
 		return created;
 	}
@@ -105,6 +114,7 @@
 				entry.getValue().client().close();
 				retainStatements(entry.getKey(), entry.getValue());
 				this.byAddress.remove(entry.getValue().address(), entry.getValue());
+				this.byStart.remove(entry.getValue().limitedTarget().key());
 				entries.remove();
 			}
 		}
@@ -129,10 +139,19 @@
 			.orElse(0.0);
 	}
 
+	/**
+	 * Finds the limit that a target has stated.
+	 * @param start start of the target, as a hash
+	 * @return the limit, empty if the target is not in use
+	 */
+	Optional<StatedLimit> findLimit(long start) {
+		return Optional.ofNullable(this.byStart.get(start)).map((target) -> target.limitedTarget().limit());
+	}
+
 	// An older list may name a target again after it was removed.
 	private void retainStatements(String id, PooledTarget pooledTarget) {
 		StatedAvailability availability = pooledTarget.load().availability();
-		if (!availability.acceptsRequests(System.nanoTime())) {
+		if (!availability.acceptsRequests(System.nanoTime()) || availability.limit().limited()) {
 			this.retained.put(startOf(id, pooledTarget.startedAtMs()), availability);
 		}
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
@@ -75,6 +75,23 @@
 		return this.placement.choose(candidates, work, service.coldRatePerSecond(), senders, now);
 	}
 
+	/**
+	 * Tells whether a request may still be sent to a target that was chosen for it.
+	 * @param query what the request needs
+	 * @param target the target
+	 * @param now monotonic time
+	 * @return whether it may
+	 */
+	boolean allows(Query query, TargetRecord target, long now) {
+		FleetSettings.Bounds bounds = this.settings.bounds();
+		int maxColdSenders = ColdSenders.maxSenders(query.service().coldRatePerSecond(), bounds.coldOvershoot(),
+				bounds.coldSlack());
+		return candidates(query, maxColdSenders, now).stream()
+			.anyMatch((candidate) -> candidate.target().id().equals(target.id())
+					&& candidate.target().startedMs() == target.startedMs()
+					&& candidate.load().availability().acceptsRequests(now));
+	}
+
 	private List<Candidate> candidates(Query query, int maxColdSenders, long now) {
 		ServiceDefinition service = query.service();
 		List<Candidate> candidates = new ArrayList<>();
--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
@@ -0,0 +1,163 @@
+package org.baobabknot.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.baobabknot.limit.LimitStatement;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests of the limits of several gateways in many orders of events.
+ */
+class LimitOrdersTests {
+
+	/** Orders for each disturbance; the long run is started by hand. */
+	private static final int ORDERS = Integer.getInteger("baobabknot.orders", 40);
+
+	private static final int GATEWAYS = 6;
+
+	private static final long END_MS = 14_000;
+
+	/** What happens while targets state limits. */
+	enum Disturbance {
+
+		NONE(0, 3) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+			}
+		},
+
+		MESSAGES_LOST(0.05, 30) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+			}
+		},
+
+		FREEZES(0.01, 10) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				orders.freeze(1_000 + random.nextInt(9_000), 100 + random.nextInt(3_000));
+				orders.freeze(1_000 + random.nextInt(9_000), 100 + random.nextInt(3_000));
+			}
+		},
+
+		RESTARTS(0.01, 10) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				for (int count = 0; count < 3; count++) {
+					orders.restart(1_000 + random.nextInt(9_000));
+				}
+			}
+		},
+
+		STOPS(0.01, 10) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				for (int count = 0; count < 3; count++) {
+					orders.stop(1_000 + random.nextInt(9_000), 500 + random.nextInt(3_000));
+				}
+			}
+		},
+
+		CUTS_FROM_THE_STORE(0.01, 10) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				orders.cutFromStore(random.nextInt(3_000), 11_000 + random.nextInt(10_000));
+				orders.cutFromStore(random.nextInt(3_000), 11_000 + random.nextInt(10_000));
+			}
+		},
+
+		ALL(0.05, 30) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				List.of(FREEZES, RESTARTS, STOPS, CUTS_FROM_THE_STORE).forEach((each) -> each.apply(orders, random));
+			}
+		};
+
+		private final LimitOrders.Faults faults;
+
+		Disturbance(double lossRatio, int maxDelayMs) {
+			this.faults = new LimitOrders.Faults(lossRatio, maxDelayMs);
+		}
+
+		abstract void apply(LimitOrders orders, SplittableRandom random);
+
+	}
+
+	private static String play(long seed, Disturbance disturbance) {
+		SplittableRandom random = new SplittableRandom(seed);
+		LimitOrders orders = new LimitOrders(seed, GATEWAYS, disturbance.faults);
+		double[] rates = { 0.3, 1.7, 4, 20 };
+		List<LimitOrders.Target> targets = List.of(orders.addTarget(rates[random.nextInt(rates.length)]),
+				orders.addTarget(rates[random.nextInt(rates.length)]), orders.addTarget(LimitStatement.UNLIMITED));
+		orders.send(0, END_MS, 20 + random.nextInt(200), 1 + random.nextInt(GATEWAYS));
+		disturbance.apply(orders, random);
+		orders.run(END_MS);
+		List<String> exceeded = new ArrayList<>();
+		targets.subList(0, 2)
+			.stream()
+			.filter(LimitOrders.Target::isExceeded)
+			.forEach((target) -> exceeded.add(target.mostInWindow() + " in 4 s"));
+		return (exceeded.isEmpty()) ? "" : "seed " + seed + ": " + exceeded;
+	}
+
+	@ParameterizedTest
+	@EnumSource(Disturbance.class)
+	void noTargetGetsMoreThanItsLimit(Disturbance disturbance) {
+		List<String> failures = new ArrayList<>();
+		for (int seed = 1; seed <= ORDERS; seed++) {
+			String failure = play(seed, disturbance);
+			if (!failure.isEmpty()) {
+				failures.add(failure);
+			}
+		}
+		assertThat(failures, is(empty()));
+	}
+
+	@Nested
+	class Use {
+
+		@ParameterizedTest
+		@CsvSource({ "18, 18, 2", "18, 2, 2", "124, 124, 2", "124, 12, 2", "18, 18, 20", "124, 12, 0.5" })
+		void mostOfALimitIsUsed(int gateways, int gatewaysWithCallers, double rate) {
+			LimitOrders orders = new LimitOrders(1, gateways, new LimitOrders.Faults(0, 5));
+			LimitOrders.Target limited = orders.addTarget(rate);
+			orders.addTarget(LimitStatement.UNLIMITED);
+			orders.send(0, END_MS, 300, gatewaysWithCallers);
+			orders.run(END_MS);
+			double used = limited.received(4_000) / (rate * (END_MS - 4_000) / 1_000);
+			assertThat(used, greaterThan(0.7));
+			assertThat(limited.isExceeded(), is(false));
+		}
+
+		@Test
+		void messagesGrowWithThePermitsNotWithTheGateways() {
+			long few = messagesOf(18);
+			long many = messagesOf(124);
+			assertThat(many < 2 * few, is(true));
+		}
+
+		private static long messagesOf(int gateways) {
+			LimitOrders orders = new LimitOrders(1, gateways, new LimitOrders.Faults(0, 5));
+			orders.addTarget(4);
+			orders.addTarget(LimitStatement.UNLIMITED);
+			orders.send(3_000, END_MS, 300, gateways);
+			orders.run(4_500);
+			long before = orders.messages();
+			orders.run(END_MS);
+			return orders.messages() - before;
+		}
+
+	}
+
+}
--- a/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LoadReceiverTests.java
@@ -21,6 +21,7 @@
 import org.baobabknot.protocol.generated.Load;
 import org.baobabknot.protocol.generated.LoadReport;
 import org.baobabknot.protocol.generated.PartReport;
+import org.baobabknot.protocol.generated.PermitMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -71,6 +72,11 @@
 			public void partsReported(PartReport report, Consumer<PartReport> reply) {
 				throw new AssertionError("no report about parts is sent");
 			}
+
+			@Override
+			public void permitsReported(PermitMessage message, Consumer<PermitMessage> reply) {
+				throw new AssertionError("no message about limits was sent");
+			}
 		}, () -> List.of(otherEntry)).bind(this.group.next(), "127.0.0.1", this.port).get(5, TimeUnit.SECONDS);
 	}
 
