Count partly written responses as read by their callers

A caller that reads 200 kB/s through a stop of the gateway got only a part of a whole response of 4 MB. One of two causes: the check whether a caller reads compares the pending bytes of its connection, which Netty reduces only when a message is written as a whole; one response is one message.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayConnection.java
@@ -226,9 +226,10 @@
 		}
 	}
 
+	// The pending bytes include a message as a whole until its last byte is written.
 	private long unwrittenBytes() {
 		ChannelOutboundBuffer outbound = channelContext().channel().unsafe().outboundBuffer();
-		return (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		return (outbound != null) ? outbound.totalPendingWriteBytes() - outbound.currentProgress() : 0;
 	}
 
 	/**
