Limit what the kernel holds of a response for its caller

The other cause of the cut responses: with a send buffer of some MB, which the kernel enlarges by itself, it takes new bytes after 1.3 MB were read, 6.5 s at 200 kB/s; the gateway took the caller for one that doesn't read (5 s there) and closed the connection. With 256 kB it takes new bytes after less than a second.

--- a/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
@@ -20,6 +20,12 @@
 
 	private static final int BACKLOG = 1_024;
 
+	/**
+	 * Bytes of a response that the kernel holds. It takes new ones when a third is free,
+	 * so that a caller which reads slowly is told from one that does not read.
+	 */
+	private static final int SEND_BUFFER_BYTES = 1 << 18;
+
 	/** Reads of one connection before the others are read, the default of Netty. */
 	private static final int MAX_READS = 16;
 
@@ -40,6 +46,7 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
 			// Reads until no data is left, so that a close right after a request is seen
 			// before the request is sent to a target.
 			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
