Let an issuer whose registration lapsed settle again

An entry that was cut off from the store for longer than its lease was the sole issuer again as soon as it was back, while the others read the list only up to 10 s later and had another one: both issued the whole limit. The first orders (14 s) ended before a lease could lapse, so they could not show it.

Orders with gateways that join unheard are new.

--- a/core/src/main/java/org/baobabknot/limit/IssuerRanking.java
+++ b/core/src/main/java/org/baobabknot/limit/IssuerRanking.java
@@ -54,6 +54,9 @@
 
 	private boolean listKnown;
 
+	/** Whether the list was read since this process is registered. */
+	private boolean othersKnown;
+
 	private long listNanos;
 
 	private boolean registered;
@@ -90,10 +93,12 @@
 				| this.announced.values().removeIf((notice) -> notice.expired(nowNanos))
 				| this.departed.keySet().retainAll(names)
 				| this.departed.values().removeIf((notice) -> notice.expired(nowNanos));
-		if (!this.listKnown && names.contains(this.self.instance())) {
-			this.listKnown = true;
+		this.listKnown = true;
+		// Entries that registered while this one was not listed are among these.
+		if (this.registered && !this.othersKnown && nowNanos - this.registeredNanos >= 0
+				&& names.contains(this.self.instance())) {
+			this.othersKnown = true;
 			this.awaited = new HashSet<>(othersOfRegion());
-			changed = true;
 		}
 		if (changed) {
 			this.rankings.clear();
@@ -110,16 +115,22 @@
 	}
 
 	/**
-	 * Records that the registration of this process holds.
+	 * Records until when the registration of this process holds. One that has lapsed may
+	 * have been missing in the lists of others.
 	 * @param untilNanos monotonic time until which the store keeps it in any case
 	 * @param nowNanos monotonic time
 	 */
 	public void recordRegistration(long untilNanos, long nowNanos) {
-		if (!this.registered) {
+		boolean lapsed = this.registered && nowNanos - this.registeredUntilNanos >= 0;
+		this.registeredUntilNanos = untilNanos;
+		if (nowNanos - untilNanos >= 0) {
+			this.registered = false;
+		}
+		else if (!this.registered || lapsed) {
 			this.registered = true;
 			this.registeredNanos = nowNanos;
+			this.othersKnown = false;
 		}
-		this.registeredUntilNanos = untilNanos;
 	}
 
 	/**
@@ -214,7 +225,7 @@
 	}
 
 	private boolean settled(String region, long nowNanos) {
-		return (region.equals(this.self.region()) && this.awaited.isEmpty())
+		return (region.equals(this.self.region()) && this.othersKnown && this.awaited.isEmpty())
 				|| nowNanos - this.registeredNanos > SETTLING_NANOS;
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -578,10 +578,10 @@
 	}
 
 	private void updateLimits(long now) {
-		this.view.entriesReadNanos()
-			.ifPresent((readNanos) -> this.sharedLimits.ranking().recordList(this.view.entries(), readNanos));
 		this.registration.heldUntilNanos()
 			.ifPresent((untilNanos) -> this.sharedLimits.ranking().recordRegistration(untilNanos, now));
+		this.view.entriesReadNanos()
+			.ifPresent((readNanos) -> this.sharedLimits.ranking().recordList(this.view.entries(), readNanos));
 		this.sharedLimits.announce();
 	}
 
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -59,6 +59,8 @@
 
 	private final Set<String> registered = new HashSet<>();
 
+	private final int initialGateways;
+
 	private long nowMs;
 
 	private long eventCount;
@@ -68,6 +70,7 @@
 	LimitOrders(long seed, int gatewayCount, Faults faults) {
 		this.random = new SplittableRandom(seed);
 		this.faults = faults;
+		this.initialGateways = gatewayCount;
 		this.ticker.advance(1, TimeUnit.HOURS);
 		for (int index = 0; index < gatewayCount; index++) {
 			this.registered.add("entry-" + index);
@@ -102,8 +105,8 @@
 	void send(long fromMs, long toMs, double perSecond, int gatewayCount) {
 		long count = (long) ((toMs - fromMs) * perSecond / 1_000);
 		for (long number = 0; number < count; number++) {
-			int gateway = this.random.nextInt(gatewayCount);
-			at(fromMs + this.random.nextLong(toMs - fromMs), () -> this.gateways.get(gateway).receive());
+			at(fromMs + this.random.nextLong(toMs - fromMs),
+					() -> this.gateways.get(drawGateway(gatewayCount)).receive());
 		}
 	}
 
@@ -155,6 +158,33 @@
 		});
 	}
 
+	/**
+	 * Adds a gateway, whose messages reach no other one at first.
+	 * @param atMs time of its registration
+	 * @param forMs time until its messages arrive
+	 */
+	void joinUnheard(long atMs, long forMs) {
+		at(atMs, () -> {
+			String name = "joined-" + this.gateways.size();
+			this.registered.add(name);
+			Gateway gateway = new Gateway(name);
+			gateway.disturbedMs = this.nowMs;
+			gateway.unheardUntilMs = this.nowMs + forMs;
+			this.gateways.add(gateway);
+		});
+	}
+
+	/**
+	 * Returns a number of a gateway, joined ones included.
+	 * @param count gateways that callers use
+	 * @return the number
+	 */
+	private int drawGateway(int count) {
+		int joined = this.gateways.size() - this.initialGateways;
+		int number = this.random.nextInt(count + joined);
+		return (number < count) ? number : this.initialGateways + number - count;
+	}
+
 	private Gateway anyGateway() {
 		return this.gateways.get(this.random.nextInt(this.gateways.size()));
 	}
@@ -282,6 +312,8 @@
 
 		private long cutUntilMs;
 
+		private long unheardUntilMs;
+
 		private long heldUntilMs;
 
 		private long listReadMs;
@@ -317,6 +349,7 @@
 			if (LimitOrders.this.nowMs >= this.cutUntilMs
 					&& LimitOrders.this.registered.contains(this.entry.instance())) {
 				this.heldUntilMs = LimitOrders.this.nowMs + LEASE_MS;
+				recordRegistration();
 				if (LimitOrders.this.nowMs - this.listReadMs >= LIST_INTERVAL_MS) {
 					this.listReadMs = LimitOrders.this.nowMs;
 					this.list = LimitOrders.this.registered.stream()
@@ -326,15 +359,23 @@
 					this.limits.ranking().recordList(this.list, nanos());
 				}
 			}
+			recordRegistration();
+			this.limits.announce();
+			this.clock.runScheduledPendingTasks();
+		}
+
+		private void recordRegistration() {
 			this.limits.ranking()
 				.recordRegistration(nanos() + TimeUnit.MILLISECONDS.toNanos(this.heldUntilMs - LimitOrders.this.nowMs),
 						nanos());
-			this.limits.announce();
-			this.clock.runScheduledPendingTasks();
 		}
 
+		// A gateway that is not heard still gets what others send.
 		private void deliver(PermitMessage message, EntryRecord recipient) {
 			LimitOrders.this.messages++;
+			if (LimitOrders.this.nowMs < this.unheardUntilMs) {
+				return;
+			}
 			LimitOrders.this.gateways.stream()
 				.filter((gateway) -> gateway.entry.equals(recipient))
 				.forEach((gateway) -> transmit(
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
@@ -28,6 +28,9 @@
 
 	private static final long END_MS = 14_000;
 
+	/** Time in which leases expire and all gateways read the list twice. */
+	private static final long LONG_END_MS = 36_000;
+
 	/** What happens while targets state limits. */
 	enum Disturbance {
 
@@ -72,8 +75,28 @@
 		CUTS_FROM_THE_STORE(0.01, 10) {
 			@Override
 			void apply(LimitOrders orders, SplittableRandom random) {
-				orders.cutFromStore(random.nextInt(3_000), 11_000 + random.nextInt(10_000));
-				orders.cutFromStore(random.nextInt(3_000), 11_000 + random.nextInt(10_000));
+				for (int count = 0; count < 3; count++) {
+					orders.cutFromStore(random.nextInt(3_000), 25_000 + random.nextInt(10_000));
+				}
+			}
+
+			@Override
+			long endMs() {
+				return LONG_END_MS;
+			}
+		},
+
+		JOINS(0.01, 10) {
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				for (int count = 0; count < 3; count++) {
+					orders.joinUnheard(1_000 + random.nextInt(9_000), 25_000);
+				}
+			}
+
+			@Override
+			long endMs() {
+				return LONG_END_MS;
 			}
 		},
 
@@ -90,6 +113,10 @@
 			this.faults = new LimitOrders.Faults(lossRatio, maxDelayMs);
 		}
 
+		long endMs() {
+			return END_MS;
+		}
+
 		abstract void apply(LimitOrders orders, SplittableRandom random);
 
 	}
@@ -100,9 +127,9 @@
 		double[] rates = { 0.3, 1.7, 4, 20 };
 		List<LimitOrders.Target> targets = List.of(orders.addTarget(rates[random.nextInt(rates.length)]),
 				orders.addTarget(rates[random.nextInt(rates.length)]), orders.addTarget(LimitStatement.UNLIMITED));
-		orders.send(0, END_MS, 20 + random.nextInt(200), 1 + random.nextInt(GATEWAYS));
+		orders.send(0, disturbance.endMs(), 20 + random.nextInt(200), 1 + random.nextInt(GATEWAYS));
 		disturbance.apply(orders, random);
-		orders.run(END_MS);
+		orders.run(disturbance.endMs());
 		List<String> exceeded = new ArrayList<>();
 		targets.subList(0, 2)
 			.stream()
