Let targets of the soak state limits, and check them

The soak had no target that states a limit, and none of its checks counted what a target gets from several gateways.

--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
@@ -75,6 +75,11 @@
 		}
 		answerChecks.checkTargets(this.history.requests(), this.history.engines());
 		this.history.engines().forEach(this::checkStatements);
+		LimitChecks limitChecks = new LimitChecks(this.history);
+		this.history.engines()
+			.forEach((engine) -> limitChecks.check(engine.events())
+				.ifPresent((seen) -> this.violations
+					.add(new SoakViolation("LIMIT: " + engine.id() + " stated a limit and got " + seen))));
 		checkDeadlyPart(events);
 		return List.copyOf(this.violations);
 	}
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
@@ -109,6 +109,22 @@
 		}
 	},
 
+	/** Engines state a limit, a lower one later, and none in the end. */
+	ENGINES_LIMITED {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			List<EmulatedEngine> engines = (site.draw(3) == 0) ? site.allEngines() : site.drawEngines();
+			double limit = LIMITS[site.draw(LIMITS.length)];
+			engines.forEach((engine) -> engine.limitPerSecond = Double.toString(limit));
+			pause(5_000 + site.draw(5_000));
+			if (site.draw(2) == 0) {
+				engines.forEach((engine) -> engine.limitPerSecond = Double.toString(limit / 2));
+				pause(4_000 + site.draw(4_000));
+			}
+			engines.forEach((engine) -> engine.limitPerSecond = "");
+		}
+	},
+
 	/** An engine answers with neither a length nor chunks. */
 	ENGINE_UNFRAMED {
 		@Override
@@ -210,6 +226,8 @@
 		}
 	};
 
+	private static final double[] LIMITS = { 0, 0.3, 1.7, 5, 20 };
+
 	/**
 	 * Injects the fault and ends it.
 	 * @param site what it acts on
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
@@ -126,6 +126,10 @@
 		return this.engines.stream().filter((engine) -> engine == one || this.random.nextInt(3) == 0).toList();
 	}
 
+	synchronized List<EmulatedEngine> allEngines() {
+		return List.copyOf(this.engines);
+	}
+
 	synchronized EmulatedEngine drawEngine() {
 		return this.engines.get(this.random.nextInt(this.engines.size()));
 	}
