--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -339,6 +339,7 @@
 							(message, recipients) -> recipients.forEach((recipient) -> deliver(message, recipient))),
 					LimitOrders.this.gateways::size,
 					(key) -> Optional.ofNullable(this.limitedTargets.get(key)).map(SharedLimits.LimitedTarget::limit));
+			this.list = List.of();
 			this.listReadMs = LimitOrders.this.nowMs - LIST_INTERVAL_MS;
 		}
 
@@ -351,7 +352,9 @@
 				this.heldUntilMs = LimitOrders.this.nowMs + LEASE_MS;
 				recordRegistration();
 				if (LimitOrders.this.nowMs - this.listReadMs >= LIST_INTERVAL_MS) {
-					this.listReadMs = LimitOrders.this.nowMs;
+					// After the first read, processes read the list at different times.
+					this.listReadMs = LimitOrders.this.nowMs
+							- ((this.list.isEmpty()) ? LimitOrders.this.random.nextLong(LIST_INTERVAL_MS) : 0);
 					this.list = LimitOrders.this.registered.stream()
 						.sorted()
 						.map((name) -> new EntryRecord(name, REGION, name, 1))
