Log what targets state, and count what comes of permits

Each limit that changed got a line, so a target that states another one in each response could push other lines out; a statement that is not understood had no line unless it was an unreadable limit. Now limit-stated and limit-lifted come at most once a second and target, statement-unread once for a target and a name, also for headers of that form that no code reads, with the counter baobabknot_unread_statements: the next new statement is seen before its rule breaks. Metrics: baobabknot_permits by result, baobabknot_target_limit by target.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -143,6 +143,8 @@
 
 	private final GatewayMetrics metrics;
 
+	private final StatementLog statementLog;
+
 	private final LoopDelayMeter loopDelay;
 
 	private final OperatorServer operatorPort;
@@ -209,14 +211,15 @@
 				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
 		this.sharedLimits = new SharedLimits(self, this.loop, this.random,
 				new SharedLimits.Peers(this::otherEntries, this::sendPermits), this.view::limitDivisor,
-				this.targetPool::findLimit);
+				this.targetPool::findLimit, this::permitRequested);
 		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard, this.sharedLimits),
 				this::otherEntriesOfRegion);
 		this.selection = new TargetSelection(settings, this.view, this.targetPool,
 				new Placement(PlacementSettings.defaults(), this.random));
 		this.traffic = new ServiceTraffic(this.view, bounds);
 		this.loopDelay = new LoopDelayMeter(SWEEP_INTERVAL_MS, registry, log);
-		this.metrics = new GatewayMetrics(registry, log::droppedLines);
+		this.metrics = new GatewayMetrics(registry, log::droppedLines, this.targetPool::statedLimits);
+		this.statementLog = new StatementLog(log, this.metrics);
 		this.operatorPort = new OperatorServer(this.loop, registry, () -> this.ready);
 	}
 
@@ -448,6 +451,10 @@
 		return allowed;
 	}
 
+	StatementLog statementLog() {
+		return this.statementLog;
+	}
+
 	GatewayMetrics metrics() {
 		return this.metrics;
 	}
@@ -542,6 +549,10 @@
 			.toList();
 	}
 
+	private void permitRequested(SharedLimits.PermitResult result) {
+		this.metrics.permitRequested(result);
+	}
+
 	private void sendPermits(PermitMessage message, List<EntryRecord> recipients) {
 		this.loadReceiver.sendPermits(message, recipients);
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
@@ -1,6 +1,8 @@
 package org.baobabknot.gateway;
 
+import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -22,9 +24,13 @@
 
 	private final Counter responseUnmatched;
 
+	private final Counter statementUnread;
+
+	private final Counter permitRequested;
+
 	private final Histogram requestSeconds;
 
-	GatewayMetrics(PrometheusRegistry registry, LongSupplier droppedLines) {
+	GatewayMetrics(PrometheusRegistry registry, LongSupplier droppedLines, Supplier<Map<String, Double>> limits) {
 		this.requestCompleted = Counter.builder()
 			.name("baobabknot_requests")
 			.help("requests of callers by how they ended")
@@ -42,6 +48,15 @@
 			.name("baobabknot_unmatched_responses")
 			.help("responses of targets that were not shown to belong to the request on their connection")
 			.register(registry);
+		this.statementUnread = Counter.builder()
+			.name("baobabknot_unread_statements")
+			.help("statements of targets about themselves that were not understood")
+			.register(registry);
+		this.permitRequested = Counter.builder()
+			.name("baobabknot_permits")
+			.help("permits for requests to targets that state a limit, by what came of them")
+			.labelNames("result")
+			.register(registry);
 		this.requestSeconds = Histogram.builder()
 			.name("baobabknot_request_seconds")
 			.help("time from the last byte of a request to the end of its answer")
@@ -54,6 +69,12 @@
 			.help("log lines that were dropped because the output was slow")
 			.callback((callback) -> callback.call(droppedLines.getAsLong()))
 			.register(registry);
+		GaugeWithCallback.builder()
+			.name("baobabknot_target_limit")
+			.help("requests per second that a target takes from all entries together, as it states")
+			.labelNames("target")
+			.callback((callback) -> limits.get().forEach((target, rate) -> callback.call(rate, target)))
+			.register(registry);
 	}
 
 	void requestCompleted(String outcome, long durationMs) {
@@ -69,6 +90,14 @@
 		this.responseUnmatched.inc();
 	}
 
+	void statementUnread() {
+		this.statementUnread.inc();
+	}
+
+	void permitRequested(SharedLimits.PermitResult result) {
+		this.permitRequested.labelValues(result.label()).inc();
+	}
+
 	void retryStarted() {
 		this.retryStarted.inc();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -387,14 +387,21 @@
 	}
 
 	/**
-	 * Called when a target has changed the limit that it states, or states something else
-	 * in its place.
+	 * Called when a target has changed the limit that it states.
 	 * @param attempt the attempt
-	 * @param response decoded head of the response
 	 */
-	void limitStated(TargetAttempt attempt, TargetResponseHead response) {
+	void limitChanged(TargetAttempt attempt) {
 		this.gateway.sharedLimits().limitChanged(attempt.pooledTarget().limitedTarget());
-		this.log.limitStated(attempt, response);
+		this.gateway.statementLog().limitChanged(attempt, this.head.requestId());
+	}
+
+	/**
+	 * Called when a response has statements that are not understood.
+	 * @param attempt the attempt
+	 * @param response decoded head of the response
+	 */
+	void statementsUnread(TargetAttempt attempt, TargetResponseHead response) {
+		this.gateway.statementLog().recordUnread(attempt, this.head.requestId(), response);
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -84,22 +84,6 @@
 			.write();
 	}
 
-	/**
-	 * Logs what a target states about the requests that it takes.
-	 * @param attempt the attempt that its response belongs to
-	 * @param response decoded head of the response
-	 */
-	void limitStated(TargetAttempt attempt, TargetResponseHead response) {
-		this.gateway.log()
-			.line(DecisionLog.Importance.STATE, "limit-stated")
-			.with("target", attempt.target().id())
-			.with("address", attempt.target().address())
-			.with("request", this.requestId)
-			.with("states", response.limit().kind().name())
-			.with("perSecond", Double.toString(attempt.load().availability().limit().ratePerSecond()))
-			.write();
-	}
-
 	void requestEnded(Summary summary, CallerRequestHead head, @Nullable TargetAttempt lastAttempt) {
 		this.gateway.log()
 			.line(importance(summary), "request-ended")
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -69,6 +69,8 @@
 
 	private final Function<Long, Optional<StatedLimit>> limits;
 
+	private final Consumer<PermitResult> results;
+
 	private final IssuerRanking ranking;
 
 	private final PermitIssuer issuer;
@@ -95,15 +97,17 @@
 	 * @param peers the other entries
 	 * @param processes number of entries that share a limit
 	 * @param limits finds the limit that a start of a target, given as a hash, has stated
+	 * @param results receives what came of each request for permits
 	 */
 	SharedLimits(EntryRecord self, EventLoop loop, RandomGenerator random, Peers peers, IntSupplier processes,
-			Function<Long, Optional<StatedLimit>> limits) {
+			Function<Long, Optional<StatedLimit>> limits, Consumer<PermitResult> results) {
 		this.self = self;
 		this.selfId = Hashing.komihash5_0().hashCharsToLong(self.instance());
 		this.loop = loop;
 		this.peers = peers;
 		this.processes = processes;
 		this.limits = limits;
+		this.results = results;
 		this.ranking = new IssuerRanking(self);
 		this.issuer = new PermitIssuer(random);
 	}
@@ -287,6 +291,35 @@
 	record LimitedTarget(long key, String region, StatedLimit limit, PermitHolder permits) {
 	}
 
+	/**
+	 * What came of a request for permits.
+	 */
+	enum PermitResult {
+
+		/** Permits were issued. */
+		GRANTED("granted"),
+
+		/** The limit is used up. */
+		DENIED("denied"),
+
+		/** The issuer did not reply in time. */
+		UNANSWERED("unanswered"),
+
+		/** No issuer can be asked now. */
+		NOT_REQUESTED("not-requested");
+
+		private final String label;
+
+		PermitResult(String label) {
+			this.label = label;
+		}
+
+		String label() {
+			return this.label;
+		}
+
+	}
+
 	/**
 	 * Receives the decision on a request.
 	 */
@@ -366,6 +399,7 @@
 						List.of(entry.get()));
 			}
 			else {
+				SharedLimits.this.results.accept(PermitResult.NOT_REQUESTED);
 				this.target.permits().retryAt(now + TimeUnit.MILLISECONDS.toNanos(UNREACHABLE_RETRY_MS));
 				denyAll();
 			}
@@ -381,6 +415,7 @@
 		}
 
 		private void timedOut() {
+			SharedLimits.this.results.accept(PermitResult.UNANSWERED);
 			SharedLimits.this.silentUntilNanos.put(this.issuerName, now() + TimeUnit.MILLISECONDS.toNanos(SILENT_MS));
 			request();
 		}
@@ -394,6 +429,7 @@
 				complete().forEach((waiter) -> waiter.outcome().granted());
 				return;
 			}
+			SharedLimits.this.results.accept((reply.getPermits() == 0) ? PermitResult.DENIED : PermitResult.GRANTED);
 			this.target.permits().retryAt(now + TimeUnit.MILLISECONDS.toNanos(reply.getRetryInMs()));
 			if (reply.getPermits() == 0) {
 				denyAll();
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -177,9 +177,12 @@
 					receivedResponse.runningRequests() + Math.max(0, receivedResponse.queuedRequests()), now);
 		}
 		boolean matched = !this.requestId.isEmpty() && this.requestId.equals(receivedResponse.requestId());
-		if (this.pooledTarget.recordStatements(receivedResponse, matched, this.sentNanos, now)
-				|| receivedResponse.limit().kind() == LimitField.Kind.UNREADABLE) {
-			this.request.limitStated(this, receivedResponse);
+		if (this.pooledTarget.recordStatements(receivedResponse, matched, this.sentNanos, now)) {
+			this.request.limitChanged(this);
+		}
+		if (receivedResponse.limit().kind() == LimitField.Kind.UNREADABLE
+				|| !receivedResponse.unreadStatements().isEmpty()) {
+			this.request.statementsUnread(this, receivedResponse);
 		}
 		this.load.version(receivedResponse.version());
 		this.load.recordFirstByte(this, now);
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -148,6 +148,21 @@
 		return Optional.ofNullable(this.byStart.get(start)).map((target) -> target.limitedTarget().limit());
 	}
 
+	/**
+	 * Returns the limits that targets state at present.
+	 * @return requests per second by the id of the target
+	 */
+	Map<String, Double> statedLimits() {
+		Map<String, Double> limits = new HashMap<>();
+		this.pooledTargets.forEach((id, pooledTarget) -> {
+			StatedLimit limit = pooledTarget.limitedTarget().limit();
+			if (limit.limited()) {
+				limits.put(id, limit.ratePerSecond());
+			}
+		});
+		return limits;
+	}
+
 	// An older list may name a target again after it was removed.
 	private void retainStatements(String id, PooledTarget pooledTarget) {
 		StatedAvailability availability = pooledTarget.load().availability();
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -338,7 +338,9 @@
 							() -> this.list.stream().filter((other) -> !other.equals(this.entry)).toList(),
 							(message, recipients) -> recipients.forEach((recipient) -> deliver(message, recipient))),
 					LimitOrders.this.gateways::size,
-					(key) -> Optional.ofNullable(this.limitedTargets.get(key)).map(SharedLimits.LimitedTarget::limit));
+					(key) -> Optional.ofNullable(this.limitedTargets.get(key)).map(SharedLimits.LimitedTarget::limit),
+					(result) -> {
+					});
 			this.list = List.of();
 			this.listReadMs = LimitOrders.this.nowMs - LIST_INTERVAL_MS;
 		}
--- a/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -102,14 +101,33 @@
 	@Nested
 	class Limit {
 
+		@Test
+		void isLoggedWhenItBeginsAndEnds() throws Exception {
+			EmulatedEngine limited = addTarget("t1");
+			limited.limitPerSecond = "1.7";
+			TargetStatementTests.this.fixture.start();
+			served(1, "first");
+			awaitLine("\"event\":\"limit-stated\"", "\"perSecond\":\"1.7\"");
+			limited.limitPerSecond = "";
+			TimeUnit.MILLISECONDS.sleep(1_100);
+			served(1, "second");
+			awaitLine("\"event\":\"limit-lifted\"", "\"perSecond\":\"Infinity\"");
+		}
+
 		@ParameterizedTest
-		@CsvSource({ "1.7, STATED, 1.7", "-3, UNREADABLE, Infinity" })
-		void isLogged(String value, String states, String rate) throws Exception {
+		@ValueSource(strings = { "-3", "many", "NaN" })
+		void thatIsNoNumberIsLoggedOnceAndIgnored(String value) throws Exception {
 			addTarget("t1").limitPerSecond = value;
 			TargetStatementTests.this.fixture.start();
-			served(1, "first");
+			assertThat(served(REQUESTS, "r"), is(REQUESTS));
+			awaitLine("\"event\":\"statement-unread\"", "\"statement\":\"limit\"");
+			assertThat(TargetStatementTests.this.fixture.logOutput.toString().split("statement-unread").length, is(2));
+		}
+
+		private void awaitLine(String event, String field) throws InterruptedException {
 			GatewayFixture.await(() -> TargetStatementTests.this.fixture.logOutput.toString()
-				.contains("\"states\":\"" + states + "\",\"perSecond\":\"" + rate + "\""));
+				.lines()
+				.anyMatch((line) -> line.contains(event) && line.contains(field)));
 		}
 
 	}
