Use more of a limit, and tell issuers of changes more than once

Causes: a permit that nobody wanted in its moment was lost; and an issuer rejects a lift that may be older than a statement which it has from another entry, and was told of it only once.

Permits are kept for 0.4 s; a change is told to the issuers again after 0.1, 0.3 and 1 s with the newest response. Requests for permits of a target are spread over up to 10 s, so that they stay few at 124 gateways.

--- a/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
+++ b/benchmarks/src/main/java/org/baobabknot/experiment/Subcommands.java
@@ -8,6 +8,7 @@
 import org.baobabknot.burst.BurstExperiment;
 import org.baobabknot.capacity.TablesExperiment;
 import org.baobabknot.fuzz.FuzzExperiment;
+import org.baobabknot.soak.LimitsExperiment;
 import org.baobabknot.soak.SoakExperiment;
 import org.baobabknot.stops.StopsExperiment;
 
@@ -43,6 +44,9 @@
 	SOAK("runs gateways under load and overlapping faults drawn from a seed, and checks the rules",
 			SoakExperiment::new),
 
+	/** Limits that engines state. */
+	LIMITS("lets engines state limits and counts what they get from all gateways", LimitsExperiment::new),
+
 	/** Stops of gateways under load. */
 	STOPS("stops gateways under load and counts what their callers get", StopsExperiment::new),
 
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakSite.java
@@ -126,6 +126,10 @@
 		return this.engines.stream().filter((engine) -> engine == one || this.random.nextInt(3) == 0).toList();
 	}
 
+	synchronized List<EmulatedEngine> modelEngines() {
+		return this.engines.stream().filter((engine) -> engine.storeEntry("ready").contains("\"models\"")).toList();
+	}
+
 	synchronized List<EmulatedEngine> allEngines() {
 		return List.copyOf(this.engines);
 	}
--- a/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
+++ b/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
@@ -23,7 +23,7 @@
 	private static final double MAX_BATCH_SECONDS = 0.05;
 
 	/** Time for which a process counts as one that wants permits. */
-	private static final long CONTENTION_NANOS = TimeUnit.SECONDS.toNanos(8);
+	private static final long CONTENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
 	/** Requests for a permit that processes send together while one becomes valid. */
 	private static final double REQUESTS_PER_PERMIT = 4;
@@ -32,7 +32,7 @@
 	 * Longest time over which further requests are spread. A process does not learn of a
 	 * higher limit before.
 	 */
-	private static final double MAX_SPREAD_SECONDS = 5;
+	private static final double MAX_SPREAD_SECONDS = 10;
 
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
--- a/core/src/main/java/org/baobabknot/limit/PermitSchedule.java
+++ b/core/src/main/java/org/baobabknot/limit/PermitSchedule.java
@@ -5,13 +5,16 @@
 
 /**
  * Times at which the permits of one issuer for one target become valid, so that they
- * follow each other at the limited rate. A permit may be reserved before it is valid; one
- * that nobody wanted is not made up for. Confined to one thread.
+ * follow each other at the limited rate. A permit may be reserved before it is valid, and
+ * one that nobody wanted may be issued a little later. Confined to one thread.
  */
 final class PermitSchedule {
 
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
+	/** Time for which permits that nobody wanted are kept. */
+	private static final long CREDIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	private boolean used;
 
 	private double ratePerSecond;
@@ -32,7 +35,10 @@
 		if (validNanos - nowNanos > maxWaitNanos) {
 			return OptionalLong.empty();
 		}
-		this.nextNanos = validNanos + (long) (permits * NANOS_PER_SECOND / rate);
+		long earliestNanos = nowNanos - CREDIT_NANOS;
+		long slotNanos = (this.used && this.nextNanos - earliestNanos > 0) ? this.nextNanos
+				: (this.used) ? earliestNanos : nowNanos;
+		this.nextNanos = slotNanos + (long) (permits * NANOS_PER_SECOND / rate);
 		this.used = true;
 		return OptionalLong.of(validNanos);
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -54,6 +56,13 @@
 	 */
 	private static final int MAX_REQUESTS_PER_SECOND = 50;
 
+	/**
+	 * Times after a change at which the issuers are told once more, in ms. A response
+	 * that shows the change may be older than what an issuer knows, and a message can be
+	 * lost.
+	 */
+	private static final long[] REPEATED_NOTICES_MS = { 100, 300, 1_000 };
+
 	/** Interval in which entries are told of this process until they confirm, in ms. */
 	private static final long ANNOUNCEMENT_INTERVAL_MS = 250;
 
@@ -77,6 +86,9 @@
 
 	private final Map<Long, PendingRequest> pending = new HashMap<>();
 
+	/** Targets whose issuers are told of a change several times at present. */
+	private final Set<Long> notified = new HashSet<>();
+
 	private final Map<String, Long> silentUntilNanos = new HashMap<>();
 
 	private long requestNumber;
@@ -163,6 +175,17 @@
 	 * @param target the target
 	 */
 	void limitChanged(LimitedTarget target) {
+		notifyIssuers(target);
+		if (this.notified.add(target.key())) {
+			for (long delayMs : REPEATED_NOTICES_MS) {
+				this.loop.schedule(() -> notifyIssuers(target), delayMs, TimeUnit.MILLISECONDS);
+			}
+			this.loop.schedule(() -> this.notified.remove(target.key()),
+					REPEATED_NOTICES_MS[REPEATED_NOTICES_MS.length - 1], TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void notifyIssuers(LimitedTarget target) {
 		PermitMessage notice = PermitMessage.newBuilder()
 			.setNotice(PermitMessages.encode(target.key(), target.region(), target.limit().statement(), now()))
 			.build();
