Know the limits of targets before their first use

A gateway that had not used a target dropped what others reported of it, and sent requests until its own first response stated the limit. The issuer's table has the statement; a target takes it from there on its first use.

LimitOrdersTests.gatewaysKnowTheLimitOfATargetBeforeTheyUseIt is new.

--- a/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
+++ b/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -71,6 +72,17 @@
 		return limit.limited() != limitedBefore;
 	}
 
+	/**
+	 * Returns the newest statement of a target that this process knows.
+	 * @param target start of the target, as a hash
+	 * @return the statement, nothing if the target states no limit
+	 */
+	public Optional<LimitStatement> statement(long target) {
+		return Optional.ofNullable(this.targets.get(target))
+			.filter((known) -> known.limit.limited())
+			.map((known) -> known.limit.statement());
+	}
+
 	/**
 	 * Issues permits.
 	 * @param request what a process needs
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -212,6 +212,7 @@
 		this.sharedLimits = new SharedLimits(self, this.loop, this.random,
 				new SharedLimits.Peers(this::otherEntries, this::sendPermits), this.view::limitDivisor,
 				this.targetPool::findLimit, this::permitRequested);
+		this.targetPool.reportedStatements(this.sharedLimits::knownStatement);
 		this.loadReceiver = new LoadReceiver(new PeerReports(this.targetPool, this.requestGuard, this.sharedLimits),
 				this::otherEntriesOfRegion);
 		this.selection = new TargetSelection(settings, this.view, this.targetPool,
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -170,6 +170,16 @@
 			.build();
 	}
 
+	/**
+	 * Returns what other entries have reported of a target that this process has not used
+	 * yet.
+	 * @param key start of the target, as a hash
+	 * @return its newest statement, nothing if it states no limit
+	 */
+	Optional<LimitStatement> knownStatement(long key) {
+		return this.issuer.statement(key);
+	}
+
 	/**
 	 * Tells the issuers of a target that its limit has changed.
 	 * @param target the target
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.channel.EventLoopGroup;
@@ -16,6 +17,7 @@
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.httpclient.ResponseMatching;
+import org.baobabknot.limit.LimitStatement;
 import org.baobabknot.limit.StatedLimit;
 import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
@@ -60,11 +62,22 @@
 		}
 	};
 
+	/** What other entries have reported of targets that are not in use. */
+	private Function<Long, Optional<LimitStatement>> reported = (start) -> Optional.empty();
+
 	TargetPool(EventLoopGroup group, FleetView view) {
 		this.group = group;
 		this.view = view;
 	}
 
+	/**
+	 * Sets where statements of targets are found that this process has not used yet.
+	 * @param newReported finds the statement of a start of a target, given as a hash
+	 */
+	void reportedStatements(Function<Long, Optional<LimitStatement>> newReported) {
+		this.reported = newReported;
+	}
+
 	/**
 	 * Returns the connections and load of a target.
 	 * @param target the target
@@ -89,6 +102,7 @@
 				new StatedAvailability());
 		TargetLoad load = new TargetLoad(availability);
 		long start = Hashing.komihash5_0().hashCharsToLong(startOf(target.id(), target.startedMs()));
+		this.reported.apply(start).ifPresent(availability.limit()::merge);
 		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client, load,
 				new CrashProbe(client), runCheck(client, target), new SharedLimits.LimitedTarget(start,
 						this.view.region(target.domain()), availability.limit(), load.permits()));
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -86,7 +86,7 @@
 	 * @return the target
 	 */
 	Target addTarget(double ratePerSecond) {
-		Target target = new Target(this.targets.size(), ratePerSecond);
+		Target target = new Target(this.random.nextLong(), ratePerSecond);
 		this.targets.add(target);
 		return target;
 	}
@@ -242,8 +242,8 @@
 
 		private final List<Arrival> arrivals = new ArrayList<>();
 
-		Target(int number, double ratePerSecond) {
-			this.key = number + 1;
+		Target(long key, double ratePerSecond) {
+			this.key = key;
 			this.ratePerSecond = ratePerSecond;
 		}
 
@@ -430,8 +430,11 @@
 		}
 
 		private SharedLimits.LimitedTarget target(Target target) {
-			return this.limitedTargets.computeIfAbsent(target.key,
-					(key) -> new SharedLimits.LimitedTarget(key, REGION, new StatedLimit(), new PermitHolder()));
+			return this.limitedTargets.computeIfAbsent(target.key, (key) -> {
+				StatedLimit limit = new StatedLimit();
+				this.limits.knownStatement(key).ifPresent(limit::merge);
+				return new SharedLimits.LimitedTarget(key, REGION, limit, new PermitHolder());
+			});
 		}
 
 		void responded(Target target, double rate, long sentNanos) {
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
@@ -15,6 +15,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Tests of the limits of several gateways in many orders of events.
@@ -167,6 +168,17 @@
 			assertThat(limited.isExceeded(), is(false));
 		}
 
+		@Test
+		void gatewaysKnowTheLimitOfATargetBeforeTheyUseIt() {
+			LimitOrders orders = new LimitOrders(1, 18, new LimitOrders.Faults(0, 5));
+			LimitOrders.Target limited = orders.addTarget(2);
+			orders.addTarget(LimitStatement.UNLIMITED);
+			orders.send(0, 4_000, 300, 2);
+			orders.send(4_000, END_MS, 300, 18);
+			orders.run(END_MS);
+			assertThat(limited.received(4_000), lessThanOrEqualTo(24L));
+		}
+
 		@Test
 		void messagesGrowWithThePermitsNotWithTheGateways() {
 			long few = messagesOf(18);
