Let an agent keep the limit that its target states

A target now states in X-Request-Limit how many requests a second it takes; the agent starts them at that rate (the same StatedLimit and PermitSchedule), refuses at once what could not start before its deadline, and forgets the limit at another incarnation. The plain stand-in states one (fault `limit`).

--- a/core/src/main/java/org/baobabknot/admission/AdmissionDecision.java
+++ b/core/src/main/java/org/baobabknot/admission/AdmissionDecision.java
@@ -40,6 +40,11 @@
 		 */
 		AT_LIMIT,
 
+		/**
+		 * The target states how many requests it takes, and has got as many.
+		 */
+		RATE_LIMITED,
+
 		/**
 		 * The status of the target is unknown: no report has arrived since the start,
 		 * since a connection was lost, or since reports contradicted each other.
--- a/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
+++ b/core/src/main/java/org/baobabknot/admission/TargetLimiter.java
@@ -3,6 +3,11 @@
 import java.util.EnumSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.baobabknot.limit.LimitStatement;
+import org.baobabknot.limit.PermitSchedule;
+import org.baobabknot.limit.StatedLimit;
 
 /**
  * Limits the number of requests that run at once on one target. The limit starts at the
@@ -28,6 +33,10 @@
 
 	private double limit;
 
+	private StatedLimit statedLimit = new StatedLimit();
+
+	private PermitSchedule permits = new PermitSchedule();
+
 	private int running;
 
 	private long epoch;
@@ -87,11 +96,43 @@
 				return new AdmissionDecision.Refused(AdmissionDecision.Reason.AT_LIMIT, Optional.empty(),
 						RETRY_AFTER_BUSY_MS);
 			}
+			if (this.statedLimit.limited() && this.permits.tryIssue(statedRate(), 1, 0, nowNanos).isEmpty()) {
+				return new AdmissionDecision.Refused(AdmissionDecision.Reason.RATE_LIMITED, Optional.empty(),
+						Math.max(1, TimeUnit.NANOSECONDS.toMillis(this.permits.waitNanos(nowNanos))));
+			}
 			this.running++;
 			return new AdmissionDecision.Admitted(this.epoch, this.incarnation);
 		}
 	}
 
+	private double statedRate() {
+		return PermitSchedule.rate(this.statedLimit.ratePerSecond());
+	}
+
+	/**
+	 * Takes into account what the target states about the requests that it takes.
+	 * @param statement the statement
+	 */
+	public void recordLimit(LimitStatement statement) {
+		synchronized (this.lock) {
+			this.statedLimit.merge(statement);
+		}
+	}
+
+	/**
+	 * Returns how long a request waits for those before it because of the limit that the
+	 * target states.
+	 * @param requestsBefore requests that start before it
+	 * @param nowNanos monotonic time
+	 * @return time in ns, 0 without a limit
+	 */
+	public long statedWaitNanos(int requestsBefore, long nowNanos) {
+		synchronized (this.lock) {
+			return (!this.statedLimit.limited()) ? 0 : this.permits.waitNanos(nowNanos)
+					+ (long) (requestsBefore * TimeUnit.SECONDS.toNanos(1) / statedRate());
+		}
+	}
+
 	/**
 	 * Ends a request that was admitted. Must be called exactly once for each admitted
 	 * request.
@@ -151,6 +192,10 @@
 				resetUntilNewReport(nowNanos);
 				return;
 			}
+			if (!sameIncarnation) {
+				this.statedLimit = new StatedLimit();
+				this.permits = new PermitSchedule();
+			}
 			if (!sameIncarnation || (cold && !this.reportedCold)) {
 				resetToColdLimit(nowNanos);
 			}
--- a/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
+++ b/core/src/main/java/org/baobabknot/limit/PermitIssuer.java
@@ -14,12 +14,6 @@
  */
 public final class PermitIssuer {
 
-	/**
-	 * Lowest rate at which permits are issued. A target that takes nothing has to get a
-	 * request now and then, because only its response shows that it takes more again.
-	 */
-	private static final double MIN_RATE = 0.2;
-
 	/** Time for which one process gets permits at once. */
 	private static final double MAX_BATCH_SECONDS = 0.05;
 
@@ -98,7 +92,7 @@
 			return new Result(request.permits(), 0, 0, statement);
 		}
 		target.recordSender(request.sender(), nowNanos);
-		double rate = Math.max(MIN_RATE, statement.ratePerSecond()) * share;
+		double rate = PermitSchedule.rate(statement.ratePerSecond()) * share;
 		int permits = (int) Math.max(1, Math.min(request.permits(), rate * MAX_BATCH_SECONDS));
 		OptionalLong valid = target.schedule.tryIssue(rate, permits, request.maxWaitNanos(), nowNanos);
 		long retryNanos = target.schedule.waitNanos(nowNanos) + spreadNanos(target, rate);
--- a/core/src/main/java/org/baobabknot/limit/PermitSchedule.java
+++ b/core/src/main/java/org/baobabknot/limit/PermitSchedule.java
@@ -8,10 +8,16 @@
  * follow each other at the limited rate. A permit may be reserved before it is valid, and
  * one that nobody wanted may be issued a little later. Confined to one thread.
  */
-final class PermitSchedule {
+public final class PermitSchedule {
 
 	private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * Lowest rate at which permits are issued. A target that takes nothing has to get a
+	 * request now and then, because only its response shows that it takes more again.
+	 */
+	private static final double MIN_RATE = 0.2;
+
 	/** Time for which permits that nobody wanted are kept. */
 	private static final long CREDIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -21,6 +27,15 @@
 
 	private long nextNanos;
 
+	/**
+	 * Returns the rate at which permits are issued.
+	 * @param statedPerSecond limit that the target states, in requests per second
+	 * @return permits per second, greater than 0
+	 */
+	public static double rate(double statedPerSecond) {
+		return Math.max(MIN_RATE, statedPerSecond);
+	}
+
 	/**
 	 * Issues permits that become valid together.
 	 * @param rate permits per second, greater than 0
@@ -29,7 +44,7 @@
 	 * @param nowNanos monotonic time
 	 * @return monotonic time from which they are valid, or nothing if that is too late
 	 */
-	OptionalLong tryIssue(double rate, int permits, long maxWaitNanos, long nowNanos) {
+	public OptionalLong tryIssue(double rate, int permits, long maxWaitNanos, long nowNanos) {
 		applyRate(rate, nowNanos);
 		long validNanos = nowNanos + waitNanos(nowNanos);
 		if (validNanos - nowNanos > maxWaitNanos) {
@@ -48,7 +63,7 @@
 	 * @param nowNanos monotonic time
 	 * @return time in ns, 0 if it is valid at once
 	 */
-	long waitNanos(long nowNanos) {
+	public long waitNanos(long nowNanos) {
 		return (this.used) ? Math.max(0, this.nextNanos - nowNanos) : 0;
 	}
 
--- a/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
+++ b/daemon/src/main/java/org/baobabknot/agent/AgentRole.java
@@ -79,7 +79,8 @@
 				: LimiterSettings.withoutStatusReports(targetSettings.coldLimit(), targetSettings.capacity());
 		int maxQueued = Math.max(1, settings.limits().queuedRequests());
 		this.admission = new TargetAdmission(new TargetLimiter(limits),
-				new FairQueue<>(new QueueSettings(maxQueued, Math.max(1, maxQueued / 2))), process::nowNanos);
+				new FairQueue<>(new QueueSettings(maxQueued, Math.max(1, maxQueued / 2))), process::nowNanos,
+				(task, delayMs) -> process.group().next().schedule(task, delayMs, TimeUnit.MILLISECONDS));
 		this.monitor = new TargetMonitor(process, kind, this.admission);
 		this.target = new HttpTarget(process.group(),
 				TargetSettings.of(targetSettings.url().getHost(), targetSettings.url().getPort(), kind), this.monitor);
--- a/daemon/src/main/java/org/baobabknot/agent/TargetAdmission.java
+++ b/daemon/src/main/java/org/baobabknot/agent/TargetAdmission.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 
 import org.baobabknot.admission.AdmissionDecision;
@@ -14,6 +15,7 @@
 import org.baobabknot.admission.QueuedRequest;
 import org.baobabknot.admission.RequestObservation;
 import org.baobabknot.admission.TargetLimiter;
+import org.baobabknot.limit.LimitStatement;
 import org.baobabknot.protocol.generated.RefusalReason;
 
 /**
@@ -28,12 +30,17 @@
 
 	private final LongSupplier clock;
 
+	private final Timer timer;
+
+	private final AtomicBoolean startScheduled = new AtomicBoolean();
+
 	private final List<CompletableFuture<Void>> pendingDrains = new ArrayList<>();
 
-	TargetAdmission(TargetLimiter limiter, FairQueue<AdmissionListener> queue, LongSupplier nanos) {
+	TargetAdmission(TargetLimiter limiter, FairQueue<AdmissionListener> queue, LongSupplier nanos, Timer timer) {
 		this.limiter = limiter;
 		this.queue = queue;
 		this.clock = nanos;
+		this.timer = timer;
 	}
 
 	/**
@@ -56,6 +63,13 @@
 	 * @param waiting the request; its listener receives the decision
 	 */
 	void offer(QueuedRequest<AdmissionListener> waiting) {
+		long now = this.clock.getAsLong();
+		if (now + this.limiter.statedWaitNanos(this.queue.size(), now) - waiting.deadlineNanos() > 0) {
+			waiting.item()
+				.onRefused(Refusal.retryLater(RefusalReason.QUEUE_FULL,
+						"the target takes no more requests before the deadline"));
+			return;
+		}
 		OfferResult<AdmissionListener> offer = this.queue.offer(waiting);
 		if (offer instanceof OfferResult.Refused<AdmissionListener> refused) {
 			RefusalReason reason = (refused.reason() == OfferResult.Reason.FULL) ? RefusalReason.QUEUE_FULL
@@ -82,6 +96,9 @@
 			AdmissionDecision decision = this.limiter.tryStart(now);
 			if (decision instanceof AdmissionDecision.Refused rejected) {
 				rejected.closeReason().ifPresent((reason) -> refuseAll(Refusal.admissionClosed(reason)));
+				if (rejected.reason() == AdmissionDecision.Reason.RATE_LIMITED) {
+					startLater(rejected.retryAfterMillis());
+				}
 				return;
 			}
 			AdmissionDecision.Admitted admitted = (AdmissionDecision.Admitted) decision;
@@ -96,6 +113,23 @@
 		}
 	}
 
+	private void startLater(long delayMs) {
+		if (this.startScheduled.compareAndSet(false, true)) {
+			this.timer.schedule(() -> {
+				this.startScheduled.set(false);
+				startQueued();
+			}, delayMs);
+		}
+	}
+
+	/**
+	 * Takes into account what the target states about the requests that it takes.
+	 * @param statement the statement
+	 */
+	void recordLimit(LimitStatement statement) {
+		this.limiter.recordLimit(statement);
+	}
+
 	private void refuseAll(Refusal refusal) {
 		this.queue.removeAll().forEach((waiting) -> waiting.item().onRefused(refusal));
 	}
@@ -158,4 +192,18 @@
 		return this.limiter;
 	}
 
+	/**
+	 * Runs tasks later.
+	 */
+	interface Timer {
+
+		/**
+		 * Runs a task once.
+		 * @param task the task
+		 * @param delayMs delay in ms
+		 */
+		void schedule(Runnable task, long delayMs);
+
+	}
+
 }
--- a/daemon/src/main/java/org/baobabknot/agent/TargetMonitor.java
+++ b/daemon/src/main/java/org/baobabknot/agent/TargetMonitor.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import org.baobabknot.admission.CloseReason;
 import org.baobabknot.daemon.ProcessContext;
+import org.baobabknot.limit.LimitStatement;
 import org.baobabknot.target.StatusResult;
 import org.baobabknot.target.Target;
 import org.baobabknot.target.TargetKind;
@@ -86,6 +87,11 @@
 		});
 	}
 
+	@Override
+	public void onLimit(LimitStatement statement) {
+		this.admission.recordLimit(statement);
+	}
+
 	boolean isEngine() {
 		return this.kind == TargetKind.ENGINE;
 	}
--- a/standins/src/main/java/org/baobabknot/standin/plain/PlainStandin.java
+++ b/standins/src/main/java/org/baobabknot/standin/plain/PlainStandin.java
@@ -22,7 +22,8 @@
  * Stand-in for a plain service. A request counts as run as soon as its complete body has
  * arrived and it has started, even if its response is lost. Fault {@code lost_answer}
  * runs requests and closes their connections without a response; {@code cold} starts a
- * new cold period.
+ * new cold period; {@code limit} states in responses that the service takes
+ * {@code per_second} requests.
  */
 public final class PlainStandin implements Standin {
 
@@ -32,6 +33,8 @@
 
 	private final Deque<Runnable> queued = new ArrayDeque<>();
 
+	private String statedLimit = "";
+
 	private int running;
 
 	private long incarnation = 1;
@@ -53,7 +56,7 @@
 
 	@Override
 	public Set<String> faultKinds() {
-		return Set.of("lost_answer", "cold");
+		return Set.of("lost_answer", "cold", "limit");
 	}
 
 	@Override
@@ -117,7 +120,8 @@
 		}
 		this.running--;
 		byte[] body = responseBody(call.method(), call.path(), requestId, digest).getBytes(StandardCharsets.UTF_8);
-		call.respond(200, "application/json", body, Map.of());
+		call.respond(200, "application/json", body,
+				(server().faults().isActive("limit")) ? Map.of("X-Request-Limit", this.statedLimit) : Map.of());
 		if (!this.queued.isEmpty()) {
 			this.queued.remove().run();
 		}
@@ -173,6 +177,9 @@
 		if (fault.path("kind").asText().equals("cold")) {
 			this.coldSinceNanos = System.nanoTime();
 		}
+		if (fault.path("kind").asText().equals("limit")) {
+			this.statedLimit = fault.path("per_second").asText();
+		}
 	}
 
 }
