--- a/core/src/test/java/org/baobabknot/placement/PlacementTests.java
+++ b/core/src/test/java/org/baobabknot/placement/PlacementTests.java
@@ -8,6 +8,7 @@
 import java.util.stream.LongStream;
 
 import org.baobabknot.fleet.TargetRecord;
+import org.baobabknot.limit.LimitStatement;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -70,6 +71,43 @@
 
 	}
 
+	@Nested
+	class StatedLimits {
+
+		private Candidate limited(String id, double waitMs) {
+			Candidate candidate = candidate(id, false, true);
+			candidate.load().availability().limit().merge(new LimitStatement(2, 0, 1));
+			candidate.load().permits().retryAt(SECOND + (long) (waitMs * TimeUnit.MILLISECONDS.toNanos(1)));
+			return candidate;
+		}
+
+		@Test
+		void aTargetThatTakesNothingNowIsSkipped() {
+			assertThat(choose(List.of(limited("limited", 300), candidate("free", false, false)), 400), is("free"));
+		}
+
+		@Test
+		void aTargetThatTakesARequestIsPreferredToABusyOne() {
+			Candidate busy = candidate("busy", false, true);
+			busy.load().recordResponseLoad(14, SECOND);
+			assertThat(choose(List.of(limited("limited", 0), busy), 400), is("limited"));
+		}
+
+		@Test
+		void aRequestThatNoTargetTakesInTimeIsRefused() {
+			assertThat(choose(List.of(limited("one", 300), limited("two", 900)), 400), is("LimitsReached"));
+			assertThat(choose(List.of(limited("one", 200), limited("two", 900)), 400), is("one"));
+		}
+
+		@Test
+		void lessUrgentRequestsWaitForLess() {
+			assertThat(estimate(400).maxPermitWaitMs(0), is(260.0));
+			assertThat(estimate(400).maxPermitWaitMs(1), is(130.0));
+			assertThat(estimate(-50).maxPermitWaitMs(0), is(0.0));
+		}
+
+	}
+
 	@Nested
 	class Choice {
 
