Use one clock for the limits that entries share

Cause: SharedLimits took the time of its event loop, statements and placing that of the runtime; Netty counts the first from its start, so ages were 0 and waits in the past.

The clock is passed in.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -209,7 +209,7 @@
 		this.targetPool = new TargetPool(this.loop, this.view);
 		this.requestGuard = new RequestGuard(settings.instance(), this.loop, log, this.random,
 				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
-		this.sharedLimits = new SharedLimits(self, this.loop, this.random,
+		this.sharedLimits = new SharedLimits(self, this.loop, System::nanoTime, this.random,
 				new SharedLimits.Peers(this::otherEntries, this::sendPermits), this.view::limitDivisor,
 				this.targetPool::findLimit, this::permitRequested);
 		this.targetPool.reportedStatements(this.sharedLimits::knownStatement);
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -72,6 +73,8 @@
 
 	private final EventLoop loop;
 
+	private final LongSupplier clock;
+
 	private final Peers peers;
 
 	private final IntSupplier processes;
@@ -104,18 +107,20 @@
 	/**
 	 * Creates the limits of a process that knows no other one yet.
 	 * @param self entry of this process
-	 * @param loop event loop, whose clock is used
+	 * @param loop event loop
+	 * @param clock monotonic time in ns, the same as that of statements and placing
 	 * @param random spreads the requests of entries that got no permit
 	 * @param peers the other entries
 	 * @param processes number of entries that share a limit
 	 * @param limits finds the limit that a start of a target, given as a hash, has stated
 	 * @param results receives what came of each request for permits
 	 */
-	SharedLimits(EntryRecord self, EventLoop loop, RandomGenerator random, Peers peers, IntSupplier processes,
-			Function<Long, Optional<StatedLimit>> limits, Consumer<PermitResult> results) {
+	SharedLimits(EntryRecord self, EventLoop loop, LongSupplier clock, RandomGenerator random, Peers peers,
+			IntSupplier processes, Function<Long, Optional<StatedLimit>> limits, Consumer<PermitResult> results) {
 		this.self = self;
 		this.selfId = Hashing.komihash5_0().hashCharsToLong(self.instance());
 		this.loop = loop;
+		this.clock = clock;
 		this.peers = peers;
 		this.processes = processes;
 		this.limits = limits;
@@ -125,7 +130,7 @@
 	}
 
 	private long now() {
-		return this.loop.ticker().nanoTime();
+		return this.clock.getAsLong();
 	}
 
 	/**
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -110,6 +110,15 @@
 		}
 	}
 
+	/**
+	 * Lets a target state no limit any more.
+	 * @param target the target
+	 * @param atMs time
+	 */
+	void lift(Target target, long atMs) {
+		at(atMs, () -> target.ratePerSecond = LimitStatement.UNLIMITED);
+	}
+
 	void freeze(long atMs, long forMs) {
 		at(atMs, () -> {
 			Gateway gateway = anyGateway();
@@ -333,7 +342,8 @@
 			this.limitedTargets.clear();
 			this.toldMs.clear();
 			this.clock = EmbeddedChannel.builder().ticker(LimitOrders.this.ticker).build();
-			this.limits = new SharedLimits(this.entry, this.clock.eventLoop(), LimitOrders.this.random,
+			this.limits = new SharedLimits(this.entry, this.clock.eventLoop(), LimitOrders.this::nanos,
+					LimitOrders.this.random,
 					new SharedLimits.Peers(
 							() -> this.list.stream().filter((other) -> !other.equals(this.entry)).toList(),
 							(message, recipients) -> recipients.forEach((recipient) -> deliver(message, recipient))),
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
@@ -168,6 +168,18 @@
 			assertThat(limited.isExceeded(), is(false));
 		}
 
+		@ParameterizedTest
+		@CsvSource({ "0, 12000", "0.5, 9000", "1.7, 9000", "20, 9000" })
+		void aLiftIsKnownEverywhereSoon(double rate, long fromMs) {
+			LimitOrders orders = new LimitOrders(1, 12, new LimitOrders.Faults(0.01, 5));
+			LimitOrders.Target limited = orders.addTarget(rate);
+			LimitOrders.Target other = orders.addTarget(LimitStatement.UNLIMITED);
+			orders.send(0, END_MS, 1_500, 12);
+			orders.lift(limited, 6_000);
+			orders.run(END_MS);
+			assertThat((double) limited.received(fromMs) / other.received(fromMs), greaterThan(0.9));
+		}
+
 		@Test
 		void gatewaysKnowTheLimitOfATargetBeforeTheyUseIt() {
 			LimitOrders orders = new LimitOrders(1, 18, new LimitOrders.Faults(0, 5));
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitedFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitedFleet.java
@@ -111,6 +111,20 @@
 		}
 	}
 
+	/**
+	 * Returns how many gateways know of a limit that holds.
+	 * @return their number
+	 */
+	long gatewaysThatKnowALimit() {
+		return this.fleet.gateways.stream()
+			.filter((gateway) -> this.engines.stream()
+				.anyMatch((engine) -> gateway.view()
+					.target(engine.id())
+					.filter((target) -> gateway.pooledTarget(target).limitedTarget().limit().limited())
+					.isPresent()))
+			.count();
+	}
+
 	/**
 	 * Returns the times at which requests reached a target.
 	 * @param engine the target
