--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -259,7 +259,7 @@
 				return;
 			}
 			this.ready = false;
-			this.sharedLimits.leave();
+			this.sharedLimits.issuerNotices().leave();
 			this.registration.stop();
 			long drainMs = (long) (this.settings.bounds().shutdownMs() * DRAIN_TIMEOUT_RATIO);
 			ShutdownWindow window = new ShutdownWindow(signalNanos + BALANCER_LAG_MS * NANOS_PER_MS,
@@ -550,7 +550,7 @@
 			.toList();
 	}
 
-	private void permitRequested(SharedLimits.PermitResult result) {
+	private void permitRequested(PermitResult result) {
 		this.metrics.permitRequested(result);
 	}
 
@@ -594,7 +594,7 @@
 			.ifPresent((untilNanos) -> this.sharedLimits.ranking().recordRegistration(untilNanos, now));
 		this.view.entriesReadNanos()
 			.ifPresent((readNanos) -> this.sharedLimits.ranking().recordList(this.view.entries(), readNanos));
-		this.sharedLimits.announce();
+		this.sharedLimits.issuerNotices().announce();
 	}
 
 	private void changed(String kind, String detail) {
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
@@ -94,7 +94,7 @@
 		this.statementUnread.inc();
 	}
 
-	void permitRequested(SharedLimits.PermitResult result) {
+	void permitRequested(PermitResult result) {
 		this.permitRequested.labelValues(result.label()).inc();
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -214,7 +214,7 @@
 	}
 
 	private void acquirePermit(PlacementResult.TargetChosen chosen, long now) {
-		SharedLimits.LimitedTarget target = this.gateway.pooledTarget(chosen.candidate().target()).limitedTarget();
+		LimitedTarget target = this.gateway.pooledTarget(chosen.candidate().target()).limitedTarget();
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		double maxWaitMs = estimate(admitted.route(), admitted.service(), now,
 				(this.deadlineNanos - now) / NANOS_PER_MS)
@@ -640,9 +640,9 @@
 
 		private final PlacementResult.TargetChosen chosen;
 
-		private final SharedLimits.LimitedTarget target;
+		private final LimitedTarget target;
 
-		PermitOutcome(PlacementResult.TargetChosen chosen, SharedLimits.LimitedTarget target) {
+		PermitOutcome(PlacementResult.TargetChosen chosen, LimitedTarget target) {
 			this.chosen = chosen;
 			this.target = target;
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/PermitMessages.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PermitMessages.java
@@ -60,8 +60,8 @@
 		return TimeUnit.MILLISECONDS.toNanos(ms);
 	}
 
-	static PermitRequest request(long number, SharedLimits.LimitedTarget target, long sender, int permits,
-			long maxWaitMs, long now) {
+	static PermitRequest request(long number, LimitedTarget target, long sender, int permits, long maxWaitMs,
+			long now) {
 		return PermitRequest.newBuilder()
 			.setNumber(number)
 			.setLimit(encode(target.key(), target.region(), target.limit().statement(), now))
--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -20,7 +20,7 @@
  * @param limitedTarget the limit that it states, and the permits of this process
  */
 record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe,
-		TargetRunCheck runCheck, SharedLimits.LimitedTarget limitedTarget) {
+		TargetRunCheck runCheck, LimitedTarget limitedTarget) {
 
 	/**
 	 * Finds out whether the target has crashed after a connection was lost, so that no
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -24,10 +24,8 @@
 import org.baobabknot.limit.IssuerRanking;
 import org.baobabknot.limit.IssuerRole;
 import org.baobabknot.limit.LimitStatement;
-import org.baobabknot.limit.PermitHolder;
 import org.baobabknot.limit.PermitIssuer;
 import org.baobabknot.limit.StatedLimit;
-import org.baobabknot.protocol.generated.IssuerNotice;
 import org.baobabknot.protocol.generated.PermitMessage;
 import org.baobabknot.protocol.generated.PermitReply;
 import org.baobabknot.protocol.generated.PermitRequest;
@@ -64,9 +62,6 @@
 	 */
 	private static final long[] REPEATED_NOTICES_MS = { 100, 300, 1_000 };
 
-	/** Interval in which entries are told of this process until they confirm, in ms. */
-	private static final long ANNOUNCEMENT_INTERVAL_MS = 250;
-
 	private final EntryRecord self;
 
 	private final long selfId;
@@ -87,6 +82,8 @@
 
 	private final PermitIssuer issuer;
 
+	private final IssuerNotices issuerNotices;
+
 	private final Map<Long, PendingRequest> pending = new HashMap<>();
 
 	/** Targets whose issuers are told of a change several times at present. */
@@ -100,10 +97,6 @@
 
 	private int requestsInSecond;
 
-	private long announcedNanos;
-
-	private boolean leaving;
-
 	/**
 	 * Creates the limits of a process that knows no other one yet.
 	 * @param self entry of this process
@@ -127,6 +120,7 @@
 		this.results = results;
 		this.ranking = new IssuerRanking(self);
 		this.issuer = new PermitIssuer(random);
+		this.issuerNotices = new IssuerNotices(self, this.ranking, peers, clock);
 	}
 
 	private long now() {
@@ -142,37 +136,11 @@
 	}
 
 	/**
-	 * Tells entries that do not know this process yet about it.
-	 */
-	void announce() {
-		long now = now();
-		List<EntryRecord> awaited = this.ranking.awaited();
-		if (!this.leaving && !awaited.isEmpty()
-				&& now - this.announcedNanos > TimeUnit.MILLISECONDS.toNanos(ANNOUNCEMENT_INTERVAL_MS)) {
-			this.announcedNanos = now;
-			this.peers.send(issuerNotice(false), awaited);
-		}
-	}
-
-	/**
-	 * Ceases to be an issuer, and tells the other entries.
+	 * Returns what this process and the others tell each other as issuers.
+	 * @return the notices
 	 */
-	void leave() {
-		this.leaving = true;
-		this.ranking.leave();
-		this.peers.send(issuerNotice(true), this.peers.others());
-	}
-
-	private PermitMessage issuerNotice(boolean ends) {
-		return PermitMessage.newBuilder()
-			.setIssuer(IssuerNotice.newBuilder()
-				.setInstance(this.self.instance())
-				.setRegion(this.self.region())
-				.setHost(this.self.host())
-				.setPort(this.self.port())
-				.setLeaving(ends)
-				.setConfirm(!ends))
-			.build();
+	IssuerNotices issuerNotices() {
+		return this.issuerNotices;
 	}
 
 	/**
@@ -269,7 +237,7 @@
 			handleNotice(message);
 		}
 		if (message.hasIssuer()) {
-			handleIssuer(message.getIssuer(), reply);
+			this.issuerNotices.handle(message.getIssuer(), reply);
 		}
 	}
 
@@ -299,65 +267,6 @@
 		}
 	}
 
-	private void handleIssuer(IssuerNotice notice, Consumer<PermitMessage> reply) {
-		if (!notice.getConfirmedBy().isEmpty()) {
-			this.ranking.recordConfirmed(notice.getConfirmedBy());
-			return;
-		}
-		EntryRecord entry = new EntryRecord(notice.getInstance(), notice.getRegion(), notice.getHost(),
-				notice.getPort());
-		if (notice.getLeaving()) {
-			this.ranking.recordDeparted(entry, now());
-			return;
-		}
-		this.ranking.recordAnnounced(entry, now());
-		if (notice.getConfirm()) {
-			reply.accept(PermitMessage.newBuilder()
-				.setIssuer(notice.toBuilder().setConfirmedBy(this.self.instance()))
-				.build());
-		}
-	}
-
-	/**
-	 * One start of a target, as limits need it.
-	 *
-	 * @param key the start, as a hash
-	 * @param region region of the target
-	 * @param limit what it has stated
-	 * @param permits permits of this process
-	 */
-	record LimitedTarget(long key, String region, StatedLimit limit, PermitHolder permits) {
-	}
-
-	/**
-	 * What came of a request for permits.
-	 */
-	enum PermitResult {
-
-		/** Permits were issued. */
-		GRANTED("granted"),
-
-		/** The limit is used up. */
-		DENIED("denied"),
-
-		/** The issuer did not reply in time. */
-		UNANSWERED("unanswered"),
-
-		/** No issuer can be asked now. */
-		NOT_REQUESTED("not-requested");
-
-		private final String label;
-
-		PermitResult(String label) {
-			this.label = label;
-		}
-
-		String label() {
-			return this.label;
-		}
-
-	}
-
 	/**
 	 * Receives the decision on a request.
 	 */
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -104,8 +104,8 @@
 		long start = Hashing.komihash5_0().hashCharsToLong(startOf(target.id(), target.startedMs()));
 		this.reported.apply(start).ifPresent(availability.limit()::merge);
 		PooledTarget created = new PooledTarget(target.address(), target.startedMs(), client, load,
-				new CrashProbe(client), runCheck(client, target), new SharedLimits.LimitedTarget(start,
-						this.view.region(target.domain()), availability.limit(), load.permits()));
+				new CrashProbe(client), runCheck(client, target),
+				new LimitedTarget(start, this.view.region(target.domain()), availability.limit(), load.permits()));
 		this.pooledTargets.put(target.id(), created);
 		this.byStart.put(start, created);
 		this.byAddress.put(created.address(), created);
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -139,7 +139,7 @@
 	void stop(long atMs, long downMs) {
 		at(atMs, () -> {
 			Gateway gateway = anyGateway();
-			gateway.limits.leave();
+			gateway.limits.issuerNotices().leave();
 			gateway.heldUntilMs = 0;
 			this.registered.remove(gateway.entry.instance());
 			after(downMs, () -> {
@@ -305,7 +305,7 @@
 
 		private final EntryRecord entry;
 
-		private final Map<Long, SharedLimits.LimitedTarget> limitedTargets = new HashMap<>();
+		private final Map<Long, LimitedTarget> limitedTargets = new HashMap<>();
 
 		private final Map<Long, Long> toldMs = new HashMap<>();
 
@@ -348,8 +348,7 @@
 							() -> this.list.stream().filter((other) -> !other.equals(this.entry)).toList(),
 							(message, recipients) -> recipients.forEach((recipient) -> deliver(message, recipient))),
 					LimitOrders.this.gateways::size,
-					(key) -> Optional.ofNullable(this.limitedTargets.get(key)).map(SharedLimits.LimitedTarget::limit),
-					(result) -> {
+					(key) -> Optional.ofNullable(this.limitedTargets.get(key)).map(LimitedTarget::limit), (result) -> {
 					});
 			this.list = List.of();
 			this.listReadMs = LimitOrders.this.nowMs - LIST_INTERVAL_MS;
@@ -375,7 +374,7 @@
 				}
 			}
 			recordRegistration();
-			this.limits.announce();
+			this.limits.issuerNotices().announce();
 			this.clock.runScheduledPendingTasks();
 		}
 
@@ -439,11 +438,11 @@
 			});
 		}
 
-		private SharedLimits.LimitedTarget target(Target target) {
+		private LimitedTarget target(Target target) {
 			return this.limitedTargets.computeIfAbsent(target.key, (key) -> {
 				StatedLimit limit = new StatedLimit();
 				this.limits.knownStatement(key).ifPresent(limit::merge);
-				return new SharedLimits.LimitedTarget(key, REGION, limit, new PermitHolder());
+				return new LimitedTarget(key, REGION, limit, new PermitHolder());
 			});
 		}
 
@@ -451,7 +450,7 @@
 			if (rate != LimitStatement.UNLIMITED) {
 				this.toldMs.putIfAbsent(target.key, LimitOrders.this.nowMs);
 			}
-			SharedLimits.LimitedTarget limited = target(target);
+			LimitedTarget limited = target(target);
 			if (limited.limit().merge(new LimitStatement(rate, sentNanos, nanos()))) {
 				this.limits.limitChanged(limited);
 			}
