Use one reply to a request for permits, and word three comments plainly

Where the first issuer replies late, the second one may reply too, and permits of both were used while the first ones were reserved; and a request that its own issuer can't decode kept its callers waiting until their deadlines.

--- a/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/CallerPort.java
@@ -22,7 +22,8 @@
 
 	/**
 	 * Bytes of a response that the kernel holds. It takes new ones when a third is free,
-	 * so that a caller which reads slowly is told from one that does not read.
+	 * so that a caller which reads slowly can be distinguished from one that does not
+	 * read.
 	 */
 	private static final int SEND_BUFFER_BYTES = 1 << 18;
 
--- a/daemon/src/main/java/org/baobabknot/gateway/IssuerNotices.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/IssuerNotices.java
@@ -16,7 +16,7 @@
  */
 final class IssuerNotices {
 
-	/** Interval in which entries are told of this process until they confirm, in ms. */
+	/** Interval of the notices to entries that have not confirmed yet, in ms. */
 	private static final long ANNOUNCEMENT_INTERVAL_MS = 250;
 
 	private final EntryRecord self;
--- a/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SharedLimits.java
@@ -56,7 +56,7 @@
 	private static final int MAX_REQUESTS_PER_SECOND = 50;
 
 	/**
-	 * Times after a change at which the issuers are told once more, in ms. A response
+	 * Times after a change at which the issuers are notified again, in ms. A response
 	 * that shows the change may be older than what an issuer knows, and a message can be
 	 * lost.
 	 */
@@ -86,7 +86,7 @@
 
 	private final Map<Long, PendingRequest> pending = new HashMap<>();
 
-	/** Targets whose issuers are told of a change several times at present. */
+	/** Targets of which further notices are scheduled. */
 	private final Set<Long> notified = new HashSet<>();
 
 	private final Map<String, Long> silentUntilNanos = new HashMap<>();
@@ -320,6 +320,8 @@
 
 		private long requestedNanos;
 
+		private boolean replied;
+
 		private Future<?> timeout = SharedLimits.this.loop.newSucceededFuture(null);
 
 		PendingRequest(LimitedTarget target) {
@@ -337,7 +339,7 @@
 			PermitRequest message = PermitMessages.request(this.number, this.target, SharedLimits.this.selfId,
 					Math.max(this.waiting.size(), this.target.permits().demand()), maxWaitMs(), now);
 			if (unknown || entry.filter(SharedLimits.this::isSelf).isPresent()) {
-				issue(message).ifPresent(this::replied);
+				issue(message).ifPresentOrElse(this::replied, this::denyAll);
 			}
 			else if (entry.isPresent() && mayRequest(now)) {
 				this.issuerName = entry.get().instance();
@@ -367,7 +369,12 @@
 			request();
 		}
 
+		// Both issuers may reply if the first one is late; one reply is used.
 		void replied(PermitReply reply) {
+			if (this.replied) {
+				return;
+			}
+			this.replied = true;
 			this.timeout.cancel(false);
 			SharedLimits.this.silentUntilNanos.remove(this.issuerName);
 			long now = now();
