Let a request find at most four limits used up

A request asked every target that states a limit, one after the other, before it went to one without or was refused. With the number of requests for permits of a second used up the refusals come without a message, so that a hundred limited targets are a recursion of a thousand frames on the event loop.

After four such targets a request considers only those without a limit. TargetStatementTests.Limit has a request at 60 targets that take nothing (not run on the code before). TargetStatementTests and TargetLimitUseTests pass.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -50,6 +50,9 @@
 	/** Targets whose crash one request finds out before it is refused. */
 	private static final int MAX_REFUSED_CONNECTIONS = 16;
 
+	/** Targets whose limits one request finds used up before it goes to one without. */
+	private static final int MAX_LIMITS_REACHED = 4;
+
 	/** Time in which a suspected request is served or crashes its target. */
 	private static final double SUSPICION_MS = 250;
 
@@ -234,7 +237,7 @@
 		Set<String> excluded = new HashSet<>(this.triedTargets);
 		excluded.addAll(this.limitedTargets);
 		return new TargetSelection.Query(admitted.service(), this.head.model(), admitted.regions(), excluded,
-				trialPlacement(), this.screening.suspectedContents());
+				this.limitedTargets.size() < MAX_LIMITS_REACHED, trialPlacement(), this.screening.suspectedContents());
 	}
 
 	private TrialPlacement trialPlacement() {
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
@@ -103,6 +103,9 @@
 				continue;
 			}
 			PooledTarget pooledTarget = this.targetPool.pooledTarget(target);
+			if (pooledTarget.limitedTarget().limit().limited() && !query.limitedAllowed()) {
+				continue;
+			}
 			ModelLayout layout = service.modelLayout();
 			if (layout != null && !query.model().isEmpty()
 					&& !hasRequiredVersion(target, layout, pooledTarget, query.model(), now)) {
@@ -158,11 +161,12 @@
 	 * @param model requested model, empty for none
 	 * @param allowedRegions regions that may serve the request, empty for all
 	 * @param tried identities of targets to which it was sent before
+	 * @param limitedAllowed whether it may go to targets that state a limit
 	 * @param trial which targets are preferred because of suspected requests
 	 * @param suspectedContents hashes of what these contain
 	 */
 	record Query(ServiceDefinition service, String model, Set<String> allowedRegions, Set<String> tried,
-			TrialPlacement trial, Collection<Long> suspectedContents) {
+			boolean limitedAllowed, TrialPlacement trial, Collection<Long> suspectedContents) {
 	}
 
 }
--- a/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TargetStatementTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
@@ -24,6 +25,8 @@
 
 	private static final int REQUESTS = 20;
 
+	private static final int MANY_TARGETS = 60;
+
 	private final GatewayFixture fixture = new GatewayFixture();
 
 	@AfterEach
@@ -124,6 +127,26 @@
 			assertThat(TargetStatementTests.this.fixture.logOutput.toString().split("statement-unread").length, is(2));
 		}
 
+		@Test
+		void thatManyTargetsHaveUsedUpIsFoundOutAtOnce() throws Exception {
+			for (int number = 0; number < MANY_TARGETS; number++) {
+				addTarget("t" + number).limitPerSecond = "0";
+			}
+			TargetStatementTests.this.fixture.start();
+			served(4 * MANY_TARGETS, "first");
+			int before = received();
+			EmulatedCaller.Response refused = TargetStatementTests.this.fixture.call("GET", "/reads/x", "r", "");
+			assertThat(refused.status(), is(503));
+			assertThat(refused.body(), containsString("limited"));
+			assertThat(received(), is(before));
+		}
+
+		private int received() {
+			return TargetStatementTests.this.fixture.engines.stream()
+				.mapToInt((engine) -> engine.receivedRequests().size())
+				.sum();
+		}
+
 		private void awaitLine(String event, String field) throws InterruptedException {
 			GatewayFixture.await(() -> TargetStatementTests.this.fixture.logOutput.toString()
 				.lines()
