--- a/core/src/main/java/org/baobabknot/limit/IssuerRole.java
+++ b/core/src/main/java/org/baobabknot/limit/IssuerRole.java
@@ -1,9 +1,9 @@
 package org.baobabknot.limit;
 
 /**
- * In which role a process issues permits for a target. Together the processes issue at
- * most 1.4 times the limit: one in the {@link #SOLE} role, and two others that can't tell
- * whether there is one.
+ * In which role a process issues permits for a target. One in the {@link #SOLE} role and
+ * two others that can't tell whether there is one issue 1.4 times the limit together.
+ * More than two others exist only while the lists of several processes differ.
  */
 public enum IssuerRole {
 
