Log when another target is tried because one is silent

An attempt that a gateway left because of silence and one that its target ended both wrote attempt-failed. attempt-silent has the silence of the response and of the target; no decision changes.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -546,6 +546,7 @@
 		}
 		// Silence doesn't show that the target has failed: it may go on at any moment.
 		if ((targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
+			this.log.attemptSilent(attempt, this.stream.eventCount());
 			attempt.cancel("silent");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
 					"nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms"));
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -57,6 +57,23 @@
 			.write();
 	}
 
+	/**
+	 * Logs that another target is tried because the one of an attempt is silent.
+	 * @param attempt the attempt
+	 * @param events events that the caller has received
+	 */
+	void attemptSilent(TargetAttempt attempt, int events) {
+		long now = System.nanoTime();
+		this.gateway.log()
+			.line(DecisionLog.Importance.FAILURE, "attempt-silent")
+			.with("request", this.requestId)
+			.with("target", attempt.target().id())
+			.with("silentMs", attempt.responseSilentNanos(now) / NANOS_PER_MS)
+			.with("targetSilentMs", attempt.targetSilentNanos(now) / NANOS_PER_MS)
+			.with("events", events)
+			.write();
+	}
+
 	private String parts() {
 		return this.traits.sharedParts()
 			.stream()
