Test requests whose target pauses and whose other target can't take them over, which fails

Real gateway, emulated engines over sockets: the first target pauses for 1.5 s in the middle of a stream, before its first event, or before the answer to a read; the second one refuses, crashes after the head, breaks off, answers 500, or pauses too. Failed on the code before any change of logic in 7 of 8 cases: streams break off after the second event, reads get 502 or 500. The eighth (both targets go on) passes.

--- /dev/null
+++ b/daemon/src/test/java/org/baobabknot/gateway/PausedTargetTests.java
@@ -0,0 +1,136 @@
+package org.baobabknot.gateway;
+
+import org.baobabknot.emulator.EmulatedCaller;
+import org.baobabknot.emulator.EmulatedEngine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/**
+ * Tests that a request is not ended early because its target pauses, and another one can
+ * not take it over.
+ */
+class PausedTargetTests {
+
+	/** Longer than any silence after which another target is tried. */
+	private static final long PAUSE_MS = 1_500;
+
+	private static final int EVENTS = 5;
+
+	private final GatewayFixture fixture = new GatewayFixture();
+
+	@AfterEach
+	void stop() {
+		this.fixture.close();
+	}
+
+	private static String events() {
+		StringBuilder text = new StringBuilder();
+		for (int number = 0; number < EVENTS; number++) {
+			text.append("id: ").append(number).append("\ndata: e").append(number).append("\n\n");
+		}
+		return text.toString();
+	}
+
+	@Nested
+	class Streams {
+
+		private EmulatedEngine addTarget(String id, String domain) {
+			return PausedTargetTests.this.fixture.addEngine(id, "models", domain, GatewayFixture.MODEL);
+		}
+
+		private EmulatedEngine addPausingTarget() {
+			EmulatedEngine engine = addTarget("t1", "a");
+			engine.pauseAtEvent = 2;
+			engine.pauseMs = PAUSE_MS;
+			return engine;
+		}
+
+		private void assertStreamIsWhole() throws Exception {
+			PausedTargetTests.this.fixture.start();
+			EmulatedCaller.Response response = PausedTargetTests.this.fixture.callStream("r1");
+			assertThat(response.status(), is(200));
+			assertThat(response.body(), is(events()));
+			assertThat(response.complete(), is(true));
+		}
+
+		@Test
+		void goOnWhenTheOtherTargetRefuses() throws Exception {
+			addPausingTarget();
+			addTarget("t2", "b").refusesRequests = true;
+			assertStreamIsWhole();
+		}
+
+		@Test
+		void goOnWhenTheOtherTargetCrashes() throws Exception {
+			addPausingTarget();
+			addTarget("t2", "b").crashesAfterHead = true;
+			assertStreamIsWhole();
+		}
+
+		@Test
+		void goOnWhenTheOtherTargetPausesToo() throws Exception {
+			addPausingTarget();
+			addTarget("t2", "b").firstByteDelayMs = 10_000;
+			assertStreamIsWhole();
+		}
+
+		@Test
+		void beginAfterAPauseWhenTheOtherTargetRefuses() throws Exception {
+			addTarget("t1", "a").firstByteDelayMs = PAUSE_MS;
+			addTarget("t2", "b").refusesRequests = true;
+			assertStreamIsWhole();
+		}
+
+		@Test
+		void goOnOnceWhereverTheNextEventComesFirst() throws Exception {
+			EmulatedEngine first = addPausingTarget();
+			EmulatedEngine second = addTarget("t2", "b");
+			// The first target goes on while the second one runs the rest.
+			second.firstByteDelayMs = PAUSE_MS - 700;
+			second.eventIntervalMs = 100;
+			assertStreamIsWhole();
+			GatewayFixture.await(() -> first.runningRequests() == 0 && second.runningRequests() == 0);
+		}
+
+	}
+
+	@Nested
+	class Reads {
+
+		private EmulatedEngine addTargets() {
+			PausedTargetTests.this.fixture.addEngine("t1", "plain", "a", "").firstByteDelayMs = PAUSE_MS;
+			return PausedTargetTests.this.fixture.addEngine("t2", "plain", "b", "");
+		}
+
+		private void assertReadIsAnswered() throws Exception {
+			PausedTargetTests.this.fixture.start();
+			EmulatedCaller.Response response = PausedTargetTests.this.fixture.call("GET", "/reads/x", "r1", "");
+			assertThat(response.status(), is(200));
+			assertThat(response.body(), is("answer to r1"));
+		}
+
+		@Test
+		void areAnsweredWhenTheOtherTargetFails() throws Exception {
+			addTargets().status = 500;
+			assertReadIsAnswered();
+		}
+
+		@Test
+		void areAnsweredWhenTheOtherTargetRefuses() throws Exception {
+			addTargets().refusesRequests = true;
+			assertReadIsAnswered();
+		}
+
+		@Test
+		void areAnsweredWhenTheOtherTargetBreaksOff() throws Exception {
+			addTargets().resetBeforeResponse = true;
+			assertReadIsAnswered();
+		}
+
+	}
+
+}
