Keep the attempt at a silent target open while another target is tried

What callers saw: a stream broke off, or a read got 502 or 500, although its engine was sound and went on after a pause of a second. Cause: a gateway that had heard nothing for 500 to 750 ms cancelled the attempt and only then found out whether another target could bring the rest. If that one refused, failed or was silent too, the request had neither. Class: silence was taken for a failure, and what was given up for it was not got back.

Change: the silent attempt stays open while another target is tried, each with its own events; the first one that makes progress brings the response and the others are cancelled. When no other target can be tried, the request waits for the silent one until its deadline. A suspected request is at one target at a time as before. A silent attempt whose version is no longer allowed and that has not begun is cancelled.

--- a/daemon/src/main/java/org/baobabknot/gateway/CallerStream.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/CallerStream.java
@@ -1,5 +1,9 @@
 package org.baobabknot.gateway;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
 import io.netty.buffer.ByteBuf;
 import org.baobabknot.httpclient.ResponseHead;
 import org.baobabknot.provider.PlatformHeaders;
@@ -16,7 +20,12 @@
 
 	private final GatewayConnection connection;
 
-	private final StreamEventParser parser;
+	/** Events of each attempt that is open, after those that the caller has. */
+	private final Map<TargetAttempt, StreamEventParser> parsers = new HashMap<>();
+
+	private long lastEventId;
+
+	private int eventCount;
 
 	private @Nullable TargetAttempt starter;
 
@@ -27,7 +36,7 @@
 	 */
 	CallerStream(GatewayConnection connection, long lastEventId) {
 		this.connection = connection;
-		this.parser = new StreamEventParser(lastEventId);
+		this.lastEventId = lastEventId;
 	}
 
 	boolean started() {
@@ -38,8 +47,27 @@
 		return this.starter == attempt;
 	}
 
+	/**
+	 * Prepares for the events of an attempt, which go on after {@link #resumeAfter()}.
+	 * @param attempt the attempt
+	 */
+	void open(TargetAttempt attempt) {
+		this.parsers.put(attempt, new StreamEventParser(this.lastEventId));
+	}
+
+	/**
+	 * Drops the begun event of an attempt that does not go on.
+	 * @param attempt the attempt
+	 */
+	void drop(TargetAttempt attempt) {
+		StreamEventParser parser = this.parsers.remove(attempt);
+		if (parser != null) {
+			parser.takePending().release();
+		}
+	}
+
 	int eventCount() {
-		return this.parser.eventCount();
+		return this.eventCount;
 	}
 
 	/**
@@ -47,7 +75,7 @@
 	 * @return its number, negative to begin the stream
 	 */
 	long resumeAfter() {
-		return (this.parser.eventCount() > 0) ? this.parser.lastEventId() : -1;
+		return (this.eventCount > 0) ? this.lastEventId : -1;
 	}
 
 	/**
@@ -57,22 +85,25 @@
 	 * @return the events that they complete, empty if they complete none
 	 */
 	ByteBuf add(TargetAttempt attempt, ByteBuf data) {
-		ByteBuf completeEvents = this.parser.add(data);
-		if (!completeEvents.isReadable() && this.parser.pendingBytes() > MAX_EVENT_BYTES) {
+		StreamEventParser parser = Objects.requireNonNull(this.parsers.get(attempt), "not opened");
+		int eventsBefore = parser.eventCount();
+		ByteBuf completeEvents = parser.add(data);
+		this.eventCount += parser.eventCount() - eventsBefore;
+		this.lastEventId = parser.lastEventId();
+		if (!completeEvents.isReadable() && parser.pendingBytes() > MAX_EVENT_BYTES) {
 			attempt.abortOversized("an event of more than " + MAX_EVENT_BYTES + " bytes");
 		}
 		return completeEvents;
 	}
 
-	boolean endsInsideEvent() {
-		return this.parser.pendingBytes() > 0;
-	}
-
 	/**
-	 * Drops the begun event of a target that does not go on.
+	 * Returns whether an attempt has begun an event that is not complete.
+	 * @param attempt the attempt
+	 * @return whether it has
 	 */
-	void dropPending() {
-		this.parser.takePending().release();
+	boolean endsInsideEvent(TargetAttempt attempt) {
+		StreamEventParser parser = this.parsers.get(attempt);
+		return parser != null && parser.pendingBytes() > 0;
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -93,7 +93,7 @@
 
 	private boolean done;
 
-	private @Nullable TargetAttempt currentAttempt;
+	private final OpenAttempts openAttempts = new OpenAttempts();
 
 	GatewayRequest(Gateway gateway, GatewayConnection connection, CallerRequestHead head, HttpHeaders headers,
 			byte[] body) {
@@ -140,8 +140,8 @@
 	 * @return whether it has
 	 */
 	boolean awaitsResponseWith(Collection<Long> candidates) {
-		TargetAttempt attempt = this.currentAttempt;
-		return attempt != null && !attempt.responseStarted() && this.screening.hasAny(candidates);
+		return this.openAttempts.all().stream().anyMatch((attempt) -> !attempt.responseStarted())
+				&& this.screening.hasAny(candidates);
 	}
 
 	/**
@@ -155,12 +155,8 @@
 	}
 
 	private void rejectQuarantined() {
-		TargetAttempt attempt = this.currentAttempt;
-		if (attempt != null) {
-			attempt.cancel("the request is quarantined");
-		}
 		if (this.stream.started()) {
-			giveUp("the request is quarantined");
+			end("the request is quarantined");
 		}
 		else {
 			sendError(ErrorResponse.harmfulPrompt());
@@ -270,7 +266,8 @@
 		TargetRecord target = chosen.candidate().target();
 		TargetAttempt attempt = new TargetAttempt(this, this.gateway.responseBudget(), target,
 				this.gateway.pooledTarget(target), this.head.requestId(), expectsStream, chosen.predictedMs(), now);
-		this.currentAttempt = attempt;
+		this.openAttempts.start(attempt);
+		this.stream.open(attempt);
 		this.attempts++;
 		this.triedTargets.add(target.id());
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
@@ -285,10 +282,10 @@
 	 * @param cause why the request has not run
 	 */
 	void attemptNotRun(TargetAttempt attempt, String reason, NotRunCause cause) {
-		if (attempt != this.currentAttempt || this.done) {
+		if (!isOpen(attempt)) {
 			return;
 		}
-		this.currentAttempt = null;
+		boolean wasCurrent = remove(attempt);
 		long now = System.nanoTime();
 		if (cause.showsFault()
 				|| (cause.reachesTarget() && attempt.load().estimatedRequests(now) < attempt.target().slots())) {
@@ -308,6 +305,9 @@
 		this.attempts--;
 		this.attemptsNotRun++;
 		this.refusedConnections += (cause.costsTarget()) ? 0 : 1;
+		if (!wasCurrent) {
+			return;
+		}
 		boolean mayContinue = (cause.costsTarget())
 				? this.attemptsNotRun - this.refusedConnections <= MAX_ATTEMPTS_NOT_RUN && mayRetry()
 				: this.refusedConnections <= MAX_REFUSED_CONNECTIONS && hasTimeToRetry();
@@ -325,16 +325,21 @@
 	 * @param failure step, peer and cause of the failure
 	 */
 	void attemptFailed(TargetAttempt attempt, HttpFailure failure) {
-		if (attempt != this.currentAttempt || this.done) {
+		if (!isOpen(attempt)) {
 			return;
 		}
-		this.currentAttempt = null;
+		boolean wasCurrent = remove(attempt);
 		this.mayHaveRun = true;
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), this.stream.eventCount());
 		String reason = failure.toString();
-		if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST) {
-			this.screening.connectionLost(attempt, () -> retryOrGiveUp(reason), () -> giveUpIfOpen(reason));
+		if (!wasCurrent) {
+			if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST) {
+				this.screening.connectionLostBesideAnother(attempt);
+			}
+		}
+		else if (failure.kind() == HttpFailure.Kind.CONNECTION_LOST) {
+			this.screening.connectionLost(attempt, () -> retryOrGiveUp(reason), () -> giveUpIfNeeded(reason));
 		}
 		else {
 			this.screening.release();
@@ -342,17 +347,49 @@
 		}
 	}
 
-	private void giveUpIfOpen(String reason) {
-		if (!this.done) {
+	// A silent target that went on has made the next attempt unnecessary.
+	private boolean needsAttempt() {
+		return !this.done && this.openAttempts.current() == null;
+	}
+
+	private boolean isOpen(TargetAttempt attempt) {
+		return !this.done && this.openAttempts.contains(attempt);
+	}
+
+	private boolean remove(TargetAttempt attempt) {
+		this.stream.drop(attempt);
+		return this.openAttempts.remove(attempt);
+	}
+
+	// The first attempt that makes progress brings the response.
+	private void keepOnly(TargetAttempt attempt) {
+		this.openAttempts.keepOnly(attempt).forEach((other) -> {
+			if (other.sentNanos() - attempt.sentNanos() < 0) {
+				other.load().recordFailure(System.nanoTime());
+			}
+			this.log.attemptFailed(other, "another target goes on", this.stream.eventCount());
+			other.cancel("another target goes on");
+			this.stream.drop(other);
+		});
+	}
+
+	private void cancelAttempts(String reason) {
+		this.openAttempts.removeAll().forEach((attempt) -> {
+			attempt.cancel(reason);
+			this.stream.drop(attempt);
+		});
+	}
+
+	private void giveUpIfNeeded(String reason) {
+		if (needsAttempt()) {
 			giveUp(reason);
 		}
 	}
 
 	private void retryOrGiveUp(String reason) {
-		if (this.done) {
+		if (!needsAttempt()) {
 			return;
 		}
-		this.stream.dropPending();
 		Route route = route();
 		if (this.screening.isQuarantined()) {
 			rejectQuarantined();
@@ -415,28 +452,21 @@
 	 * @param bytes body
 	 */
 	void responseReceived(TargetAttempt attempt, TargetResponseHead response, ResponseHead responseHead, byte[] bytes) {
-		if (attempt != this.currentAttempt || this.done) {
+		if (!isOpen(attempt)) {
 			return;
 		}
-		Route route = route();
 		long now = System.nanoTime();
 		boolean serverError = response.status() >= 500;
 		if (serverError) {
 			this.mayHaveRun = true;
 			attempt.load().recordFailure(now);
 			this.log.attemptFailed(attempt, "status " + response.status(), this.stream.eventCount());
-			if (this.stream.started()) {
-				this.currentAttempt = null;
-				retryOrGiveUp("status " + response.status());
-				return;
-			}
-			if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
-				this.currentAttempt = null;
-				startAttempt();
+			if (!remove(attempt) || continuesAfterServerError(response.status())) {
 				return;
 			}
 		}
 		else {
+			keepOnly(attempt);
 			attempt.load().recordSuccess(now);
 			if (response.isSuccess()) {
 				this.screening.served();
@@ -444,13 +474,26 @@
 			recordLatency(attempt);
 		}
 		if (this.stream.started()) {
-			giveUp("status " + response.status() + " instead of the rest of the stream");
+			end("status " + response.status() + " instead of the rest of the stream");
 			return;
 		}
 		finish((serverError) ? "target-failed" : "whole", attempt, "status " + response.status());
 		this.connection.sendResponse(response.status(), PlatformHeaders.callerHeaders(responseHead), bytes);
 	}
 
+	private boolean continuesAfterServerError(int status) {
+		Route route = route();
+		if (this.stream.started()) {
+			retryOrGiveUp("status " + status);
+			return true;
+		}
+		if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
+			startAttempt();
+			return true;
+		}
+		return this.openAttempts.waitAgain();
+	}
+
 	/**
 	 * Sends the complete events of a stream to the caller.
 	 * @param attempt the attempt
@@ -459,7 +502,7 @@
 	 * @return whether they complete an event
 	 */
 	boolean streamEvents(TargetAttempt attempt, ResponseHead responseHead, ByteBuf data) {
-		if (attempt != this.currentAttempt || this.done) {
+		if (!isOpen(attempt)) {
 			return false;
 		}
 		ByteBuf completeEvents = this.stream.add(attempt, data);
@@ -467,6 +510,7 @@
 			completeEvents.release();
 			return false;
 		}
+		keepOnly(attempt);
 		if (!attempt.written()) {
 			attempt.markWritten();
 			this.screening.answerStarted();
@@ -496,14 +540,15 @@
 	 * @param responseHead head of the response
 	 */
 	void streamEnded(TargetAttempt attempt, ResponseHead responseHead) {
-		if (attempt != this.currentAttempt || this.done) {
+		if (!isOpen(attempt)) {
 			return;
 		}
-		if (this.stream.endsInsideEvent()) {
+		if (this.stream.endsInsideEvent(attempt)) {
 			attemptFailed(attempt, HttpFailure.afterSending("read answer", attempt.target().address(),
 					"the stream ended inside an event"));
 			return;
 		}
+		keepOnly(attempt);
 		startStream(attempt, responseHead);
 		attempt.load().recordSuccess(System.nanoTime());
 		// A target that only goes on after the last event has not shown that it survives
@@ -523,20 +568,15 @@
 		if (this.done) {
 			return;
 		}
-		TargetAttempt attempt = this.currentAttempt;
 		if (now >= this.deadlineNanos) {
-			giveUp("the deadline has passed");
+			end("the deadline has passed");
 			return;
 		}
+		this.openAttempts.onceSilent().forEach((each) -> cancelIfOutdated(each, now));
+		TargetAttempt attempt = this.openAttempts.current();
 		Route route = route();
-		if (attempt == null || !route.repeatable() || this.attempts >= route.maxAttempts()) {
-			return;
-		}
-		if (!this.stream.started() && !attempt.responseStarted()
-				&& this.gateway.selection().runsOutdatedVersion(attempt, this.head.model(), now)) {
-			attempt.cancel("its version is no longer allowed");
-			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
-					"the target runs a version that is no longer allowed"));
+		if (this.done || attempt == null || !route.repeatable() || this.attempts >= route.maxAttempts()
+				|| cancelIfOutdated(attempt, now)) {
 			return;
 		}
 		SilencePolicy silence = new SilencePolicy(attempt, route, this.stream.started());
@@ -546,15 +586,39 @@
 		}
 		// Silence doesn't show that the target has failed: it may go on at any moment.
 		if ((targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
-			this.log.attemptSilent(attempt, this.stream.eventCount());
-			attempt.cancel("silent");
+			tryElsewhere(attempt, now);
+		}
+	}
+
+	private boolean cancelIfOutdated(TargetAttempt attempt, long now) {
+		boolean outdated = !this.stream.started() && !attempt.responseStarted()
+				&& this.gateway.selection().runsOutdatedVersion(attempt, this.head.model(), now);
+		if (outdated) {
+			attempt.cancel("its version is no longer allowed");
 			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(),
-					"nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms"));
+					"the target runs a version that is no longer allowed"));
+		}
+		return outdated;
+	}
+
+	// The silent target keeps its attempt, since the other one may fail. A suspected
+	// request is at one target at a time.
+	private void tryElsewhere(TargetAttempt attempt, long now) {
+		String reason = "nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms";
+		this.log.attemptSilent(attempt, this.stream.eventCount());
+		if (this.screening.onTrial()) {
+			attempt.cancel("silent");
+			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(), reason));
+			return;
 		}
+		this.mayHaveRun = true;
+		this.openAttempts.setCurrentAside();
+		retryOrGiveUp(reason);
 	}
 
 	private boolean canContinueElsewhere(long now) {
-		return hasTimeToRetry() && this.gateway.traffic().allowsRetry(service().name(), now)
+		return this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
+				&& this.gateway.traffic().allowsRetry(service().name(), now)
 				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
 	}
 
@@ -566,10 +630,8 @@
 		if (this.done) {
 			return;
 		}
-		TargetAttempt attempt = this.currentAttempt;
-		if (attempt != null) {
-			attempt.cancel("the connection of the caller has ended");
-		}
+		TargetAttempt attempt = this.openAttempts.current();
+		cancelAttempts("the connection of the caller has ended");
 		finish("caller-gone", attempt, detail);
 	}
 
@@ -579,7 +641,7 @@
 	 */
 	void processEnding() {
 		if (!this.done) {
-			giveUp("this process ends");
+			end("this process ends");
 		}
 	}
 
@@ -588,18 +650,20 @@
 	 * @param writable whether the caller's connection accepts more data
 	 */
 	void callerWritabilityChanged(boolean writable) {
-		TargetAttempt attempt = this.currentAttempt;
-		if (attempt != null) {
-			attempt.setReading(writable);
-		}
+		this.openAttempts.all().forEach((attempt) -> attempt.setReading(writable));
 	}
 
+	// Waits for a silent target, if there is one, because no other one can be tried.
 	private void giveUp(String reason) {
-		TargetAttempt attempt = this.currentAttempt;
-		boolean attemptInFlight = attempt != null && attempt.sent();
-		if (attempt != null) {
-			attempt.cancel(reason);
+		if (!this.openAttempts.waitAgain()) {
+			end(reason);
 		}
+	}
+
+	private void end(String reason) {
+		TargetAttempt attempt = this.openAttempts.current();
+		boolean attemptInFlight = this.openAttempts.all().stream().anyMatch(TargetAttempt::sent);
+		cancelAttempts(reason);
 		switch (UnfinishedRequest.of(this.mayHaveRun || attemptInFlight, this.stream.started())) {
 			case RESPONSE_STARTED -> {
 				finish("stream-broken", attempt, reason);
@@ -607,11 +671,13 @@
 			}
 			case MAY_HAVE_RUN -> {
 				boolean deadlinePassed = System.nanoTime() >= this.deadlineNanos;
-				sendError(ErrorResponse.unknownOutcome(
-						(deadlinePassed) ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
-						"outcome-unknown", reason));
+				sendError(attempt,
+						ErrorResponse.unknownOutcome(
+								(deadlinePassed) ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY,
+								"outcome-unknown", reason));
 			}
-			case NOT_RUN -> sendError(ErrorResponse.notRun("unavailable", reason, retryAfterMs(RetryAfter.LATER, 0)));
+			case NOT_RUN ->
+				sendError(attempt, ErrorResponse.notRun("unavailable", reason, retryAfterMs(RetryAfter.LATER, 0)));
 		}
 	}
 
@@ -621,13 +687,17 @@
 	}
 
 	private void sendError(ErrorResponse error) {
-		finish(error.reason(), this.currentAttempt, error.detail());
+		sendError(this.openAttempts.current(), error);
+	}
+
+	private void sendError(@Nullable TargetAttempt lastAttempt, ErrorResponse error) {
+		finish(error.reason(), lastAttempt, error.detail());
 		this.connection.sendError(error, this.head.requestId());
 	}
 
 	private void finish(String outcome, @Nullable TargetAttempt lastAttempt, String detail) {
 		this.done = true;
-		this.currentAttempt = null;
+		cancelAttempts((detail.isEmpty()) ? outcome : detail);
 		this.screening.release();
 		long durationMs = (System.nanoTime() - this.arrivedNanos) / NANOS_PER_MS;
 		RequestAdmission.Admitted admitted = this.admission;
@@ -657,9 +727,9 @@
 			long remainingMs = (GatewayRequest.this.deadlineNanos - now) / NANOS_PER_MS;
 			boolean allowed = GatewayRequest.this.gateway.selection()
 				.allows(query(), this.chosen.candidate().target(), now);
-			if (GatewayRequest.this.done || !allowed || remainingMs < MIN_ATTEMPT_MS) {
+			if (!needsAttempt() || !allowed || remainingMs < MIN_ATTEMPT_MS) {
 				this.target.permits().add(1, now);
-				if (!GatewayRequest.this.done) {
+				if (needsAttempt()) {
 					startAttempt();
 				}
 				return;
@@ -669,7 +739,7 @@
 
 		@Override
 		public void denied() {
-			if (!GatewayRequest.this.done) {
+			if (needsAttempt()) {
 				GatewayRequest.this.limitedTargets.add(this.chosen.candidate().target().id());
 				startAttempt();
 			}
@@ -684,17 +754,17 @@
 
 		@Override
 		public void admitted(Optional<Trial> admittedTrial) {
-			if (GatewayRequest.this.done) {
-				GatewayRequest.this.screening.release();
+			if (needsAttempt()) {
+				startAttempt();
 			}
 			else {
-				startAttempt();
+				GatewayRequest.this.screening.release();
 			}
 		}
 
 		@Override
 		public void postponed() {
-			if (GatewayRequest.this.done) {
+			if (!needsAttempt()) {
 				return;
 			}
 			String detail = "a target crashed under a request that has something in common with this one";
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestScreening.java
@@ -139,10 +139,7 @@
 		// stream goes on before the crash is certain, but not where what may have caused
 		// it is sent, which the other entries report in this time.
 		boolean continues = attempt.written() && !this.guard.hasEvidence(this.traits);
-		attempt.pooledTarget().crashProbe().hasCrashed().thenAccept((crashed) -> {
-			if (crashed) {
-				this.guard.recordCrash(attempt.target(), this.traits, attempt.written());
-			}
+		checkCrash(attempt, () -> {
 			if (!continues) {
 				crashChecked(retry, giveUp);
 			}
@@ -152,6 +149,25 @@
 		}
 	}
 
+	/**
+	 * Finds out whether the target of a lost connection has crashed, while the request
+	 * goes on at another target.
+	 * @param attempt the attempt
+	 */
+	void connectionLostBesideAnother(TargetAttempt attempt) {
+		checkCrash(attempt, () -> {
+		});
+	}
+
+	private void checkCrash(TargetAttempt attempt, Runnable next) {
+		attempt.pooledTarget().crashProbe().hasCrashed().thenAccept((crashed) -> {
+			if (crashed) {
+				this.guard.recordCrash(attempt.target(), this.traits, attempt.written());
+			}
+			next.run();
+		});
+	}
+
 	private void crashChecked(Runnable retry, Runnable giveUp) {
 		release();
 		if (!isPartSuspected()) {
