Do not count the time in which a response is not read as silence of its target

What callers saw: a stream to a caller that reads slowly broke off after some seconds although its engine was sound, and further engines ran it. Cause: when the caller's connection accepts no more, the gateway stops reading from the target; this pause of its own counted as the silence of the target. Change: an attempt that is not read is not silent, and its silence counts from when it is read again.

--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -51,6 +51,9 @@
 
 	private long lastProgressNanos;
 
+	/** Whether nothing is read because the caller does not read. */
+	private boolean paused;
+
 	private boolean written;
 
 	private boolean done;
@@ -98,7 +101,7 @@
 	 * @return time in nanoseconds
 	 */
 	long targetSilentNanos(long nowNanos) {
-		return Math.min(nowNanos - this.lastProgressNanos, this.load.silentNanos(nowNanos));
+		return Math.min(responseSilentNanos(nowNanos), this.load.silentNanos(nowNanos));
 	}
 
 	/**
@@ -106,10 +109,10 @@
 	 * stream, or bytes of any other response. Bytes of an event that does not end are no
 	 * progress, so that a target which sends one now and then counts as silent.
 	 * @param nowNanos monotonic time
-	 * @return time in nanoseconds
+	 * @return time in nanoseconds, 0 while the response is not read
 	 */
 	long responseSilentNanos(long nowNanos) {
-		return nowNanos - this.lastProgressNanos;
+		return (this.paused) ? 0 : nowNanos - this.lastProgressNanos;
 	}
 
 	boolean written() {
@@ -342,7 +345,9 @@
 	void setReading(boolean enabled) {
 		HttpExchange openExchange = this.exchange;
 		if (openExchange != null && !this.done) {
+			this.paused = !enabled;
 			if (enabled) {
+				this.lastProgressNanos = System.nanoTime();
 				openExchange.resume();
 			}
 			else {
--- a/daemon/src/test/java/org/baobabknot/gateway/PausedTargetTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/PausedTargetTests.java
@@ -1,7 +1,11 @@
 package org.baobabknot.gateway;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
 import org.baobabknot.emulator.EmulatedCaller;
 import org.baobabknot.emulator.EmulatedEngine;
+import org.baobabknot.emulator.EngineWork;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -20,6 +24,8 @@
 
 	private static final int EVENTS = 5;
 
+	private static final long TIMEOUT_SECONDS = 10;
+
 	private final GatewayFixture fixture = new GatewayFixture();
 
 	@AfterEach
@@ -133,4 +139,52 @@
 
 	}
 
+	/**
+	 * What looks like silence of a target but is not.
+	 */
+	@Nested
+	class SoundTargets {
+
+		private static final int LONG_EVENTS = 100;
+
+		private EmulatedEngine addTargets(int intervalMs) {
+			EmulatedEngine engine = PausedTargetTests.this.fixture.addEngine("t1", "models", "a", GatewayFixture.MODEL);
+			engine.eventsPerStream = LONG_EVENTS;
+			engine.eventIntervalMs = intervalMs;
+			return PausedTargetTests.this.fixture.addEngine("t2", "models", "b", GatewayFixture.MODEL);
+		}
+
+		@Test
+		void areNotLeftAfterAStallOfTheGateway() throws Exception {
+			EmulatedEngine other = addTargets(20);
+			PausedTargetTests.this.fixture.start();
+			CompletableFuture<EmulatedCaller.Response> response = PausedTargetTests.this.fixture.callAsync("POST",
+					"/texts/x", "r1",
+					EmulatedCaller.modelHeaders(GatewayFixture.MODEL, 100, 30) + EmulatedCaller.deadlineHeader(5_000));
+			Thread.sleep(200);
+			PausedTargetTests.this.fixture.stallEventLoop(PAUSE_MS);
+			assertThat(response.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).complete(), is(true));
+			assertThat(other.receivedRequests().isEmpty(), is(true));
+		}
+
+		@Test
+		void areNotLeftWhenTheCallerReadsSlowly() throws Exception {
+			EmulatedEngine other = addTargets(0);
+			PausedTargetTests.this.fixture.start();
+			try (EmulatedCaller caller = PausedTargetTests.this.fixture.caller()) {
+				EngineWork work = new EngineWork(LONG_EVENTS, 5, 60_000);
+				caller.send(EmulatedCaller.request("POST", "/texts/x", "r1",
+						work.header() + EmulatedCaller.modelHeaders(GatewayFixture.MODEL, 100, 30)
+								+ EmulatedCaller.deadlineHeader(5_000),
+						"body"));
+				Thread.sleep(2 * PAUSE_MS);
+				EmulatedCaller.Response response = caller.readResponse();
+				assertThat(response.complete(), is(true));
+				assertThat(response.body(), is(work.events("r1", LONG_EVENTS)));
+			}
+			assertThat(other.receivedRequests().isEmpty(), is(true));
+		}
+
+	}
+
 }
