Ask a target whether it still runs until the request ends, not for one second

What callers saw: a whole answer without a length, the end of which is the end of its connection, was taken for one that broke off: its stream was cut, an order that had run got 504. Cause: such an answer is whole if its target is seen running after it, and a target that paused for a second just then did not answer the check in time; no answer counted as an end.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -1,5 +1,6 @@
 package org.baobabknot.gateway;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Objects;
@@ -163,6 +164,14 @@
 		}
 	}
 
+	/**
+	 * Returns the time until the deadline.
+	 * @return the time, negative after the deadline
+	 */
+	Duration remaining() {
+		return Duration.ofNanos(this.deadlineNanos - System.nanoTime());
+	}
+
 	private Route route() {
 		return Objects.requireNonNull(this.admission).route();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -240,7 +240,7 @@
 		TargetResponseHead completedResponse = Objects.requireNonNull(this.response);
 		if (completedHead.isCloseDelimited() && !completedResponse.notRun()) {
 			this.pooledTarget.runCheck()
-				.runsAfter(System.nanoTime(), this.sentNanos)
+				.runsAfter(System.nanoTime(), this.sentNanos, this.request.remaining())
 				.thenAccept((runs) -> closeDelimitedEnded(completedResponse, completedHead, runs));
 		}
 		else if (finish()) {
--- a/daemon/src/test/java/org/baobabknot/gateway/PausedTargetTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/PausedTargetTests.java
@@ -139,6 +139,37 @@
 
 	}
 
+	/**
+	 * Responses that end with their connection are whole if their target still runs.
+	 */
+	@Nested
+	class ResponsesWithoutALength {
+
+		private void pauseAtTheEnd(EmulatedEngine engine) {
+			engine.unframedResponses = true;
+			engine.statusDelayMs = PAUSE_MS;
+		}
+
+		@Test
+		void areWholeWhenTheirStreamEndsBeforeAPause() throws Exception {
+			pauseAtTheEnd(PausedTargetTests.this.fixture.addEngine("t1", "models", "a", GatewayFixture.MODEL));
+			PausedTargetTests.this.fixture.start();
+			EmulatedCaller.Response response = PausedTargetTests.this.fixture.callStream("r1");
+			assertThat(response.body(), is(events()));
+			assertThat(response.complete(), is(true));
+		}
+
+		@Test
+		void areWholeWhenTheirOrderEndsBeforeAPause() throws Exception {
+			pauseAtTheEnd(PausedTargetTests.this.fixture.addEngine("p1", "plain", "a", ""));
+			PausedTargetTests.this.fixture.start();
+			EmulatedCaller.Response response = PausedTargetTests.this.fixture.call("POST", "/orders/x", "r1", "");
+			assertThat(response.status(), is(200));
+			assertThat(response.body(), is("answer to r1"));
+		}
+
+	}
+
 	/**
 	 * What looks like silence of a target but is not.
 	 */
