--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayTests.java
@@ -9,6 +9,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -108,6 +110,14 @@
 			assertThat(GatewayTests.this.fixture.call("POST", "/orders/x", "r1", "").status(), is(502));
 		}
 
+		@ParameterizedTest
+		@ValueSource(ints = { 0, 99, 600, 999 })
+		void aStatusThatHttpDoesNotHaveIsNotPassedOn(int status) throws Exception {
+			addPlainTarget("t1", "a").status = status;
+			GatewayTests.this.fixture.start();
+			assertThat(GatewayTests.this.fixture.call("POST", "/orders/x", "r1", "").status(), is(502));
+		}
+
 		@Test
 		void aConnectionToATargetIsReused() throws Exception {
 			EmulatedEngine engine = addPlainTarget("t1", "a");
