Let whole engines fall silent and go on in the soak

The new fault of ./experiment soak stops one to all engines for 0.3 to 2 s, up to three times: nothing is sent and nothing begins meanwhile, refusals and reports included.

--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakFault.java
@@ -201,6 +201,17 @@
 		}
 	},
 
+	/** Engines send and begin nothing for up to two seconds, and go on. */
+	ENGINES_SILENT {
+		@Override
+		void inject(SoakSite site) throws InterruptedException {
+			for (int count = 1 + site.draw(3); count > 0; count--) {
+				site.drawEngines().forEach((engine) -> engine.fallSilent(300 + site.draw(1_700)));
+				pause(500 + site.draw(2_500));
+			}
+		}
+	},
+
 	/** All connections of an engine are reset. */
 	CONNECTIONS_RESET {
 		@Override
