Pause between watches of entry and agent that bring nothing new

Cause: only a failed watch had a delay. Change: the pause of the gateways' watchers (CallPacer, now in core) follows each watch that brought no change and did not wait its time: 0.5 s, doubling to 5 s; a change or a full wait ends it.

StoreWatchTests, on a clock that the test advances: 2 of 4 failed on the code before (1,000 calls, the end of the test's patience, instead of at most 10 in 5 s), pass now. The logic of gateways and loaders is unchanged (CallPacer moved).

--- a/platform/src/main/java/org/baobabknot/provider/CallPacer.java
+++ b/core/src/main/java/org/baobabknot/retry/CallPacer.java
@@ -1,10 +1,10 @@
-package org.baobabknot.provider;
+package org.baobabknot.retry;
 
 /**
  * Pause before a call that follows others which brought nothing new, so that no sequence
  * of responses makes a process call without a pause.
  */
-final class CallPacer {
+public final class CallPacer {
 
 	private static final long MIN_PAUSE_MS = 100;
 
@@ -22,7 +22,7 @@
 	 * Creates a pacer whose pauses begin at 100 ms.
 	 * @param maxPauseMs longest pause, in ms
 	 */
-	CallPacer(long maxPauseMs) {
+	public CallPacer(long maxPauseMs) {
 		this(MIN_PAUSE_MS, maxPauseMs, FACTOR);
 	}
 
@@ -32,7 +32,7 @@
 	 * @param maxPauseMs longest pause, in ms
 	 * @param factor ratio of two pauses that follow each other
 	 */
-	CallPacer(long minPauseMs, long maxPauseMs, int factor) {
+	public CallPacer(long minPauseMs, long maxPauseMs, int factor) {
 		this.minPauseMs = minPauseMs;
 		this.maxPauseMs = maxPauseMs;
 		this.factor = factor;
@@ -42,7 +42,7 @@
 	/**
 	 * Records that a call brought something new, or lasted as long as it was to.
 	 */
-	void recordProgress() {
+	public void recordProgress() {
 		this.nextPauseMs = this.minPauseMs;
 	}
 
@@ -50,7 +50,7 @@
 	 * Records that a call returned early without anything new.
 	 * @return pause before the next call in ms, longer each time up to a limit
 	 */
-	long pauseAfterNoProgress() {
+	public long pauseAfterNoProgress() {
 		long pauseMs = this.nextPauseMs;
 		this.nextPauseMs = Math.min(this.maxPauseMs, pauseMs * this.factor);
 		return pauseMs;
@@ -60,7 +60,7 @@
 	 * Returns whether several calls in a row brought nothing new.
 	 * @return whether the next pause is the longest one
 	 */
-	boolean isAtLimit() {
+	public boolean isAtLimit() {
 		return this.nextPauseMs >= this.maxPauseMs;
 	}
 
--- a/daemon/src/main/java/org/baobabknot/gossip/StoreWatch.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/StoreWatch.java
@@ -13,10 +13,12 @@
 import org.baobabknot.membership.Member;
 import org.baobabknot.membership.MemberState;
 import org.baobabknot.membership.MembershipView;
+import org.baobabknot.retry.CallPacer;
 import org.baobabknot.store.ConfigurationStore;
 import org.baobabknot.store.ReadResult;
 import org.baobabknot.store.StoredValue;
 import org.baobabknot.store.WatchResult;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads the rules from the store. The 2 highest-ranked live entries of a failure domain
@@ -33,7 +35,14 @@
 
 	private static final Duration MAX_WATCH_WAIT = Duration.ofSeconds(10);
 
-	private static final long RETRY_DELAY_MS = 500;
+	private static final long MIN_PAUSE_MS = 500;
+
+	private static final long MAX_PAUSE_MS = 5_000;
+
+	private static final int PAUSE_FACTOR = 2;
+
+	/** A watch may end this much too early, because the store's clock is rounded. */
+	private static final long WAIT_SLACK_MS = 100;
 
 	private static final long NO_PEER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -51,6 +60,8 @@
 
 	private final Ticker ticker;
 
+	private final CallPacer pacer = new CallPacer(MIN_PAUSE_MS, MAX_PAUSE_MS, PAUSE_FACTOR);
+
 	private final AtomicBoolean watchRunning = new AtomicBoolean();
 
 	private volatile long latestVersion;
@@ -153,13 +164,22 @@
 	}
 
 	private void watch() {
-		this.store.watch(RulesDocument.KEY, this.latestVersion, MAX_WATCH_WAIT).whenComplete((result, error) -> {
-			if (result instanceof WatchResult.Changed changed) {
-				adoptIfChanged(changed.value(), "store watch");
-			}
-			long delayMs = (result instanceof WatchResult.Failed || error != null) ? RETRY_DELAY_MS : 0;
-			this.loop.schedule(this::continueWatch, delayMs, TimeUnit.MILLISECONDS);
-		});
+		long sentNanos = this.ticker.nanoTime();
+		this.store.watch(RulesDocument.KEY, this.latestVersion, MAX_WATCH_WAIT)
+			.whenComplete((result, error) -> this.loop.execute(() -> continueAfter(result, sentNanos)));
+	}
+
+	private void continueAfter(@Nullable WatchResult result, long sentNanos) {
+		boolean changed = result instanceof WatchResult.Changed change && adoptIfChanged(change.value(), "store watch");
+		boolean waited = result instanceof WatchResult.Unchanged && this.ticker.nanoTime()
+				- sentNanos >= MAX_WATCH_WAIT.toNanos() - TimeUnit.MILLISECONDS.toNanos(WAIT_SLACK_MS);
+		if (changed || waited) {
+			this.pacer.recordProgress();
+			continueWatch();
+		}
+		else {
+			this.loop.schedule(this::continueWatch, this.pacer.pauseAfterNoProgress(), TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private void continueWatch() {
@@ -173,15 +193,16 @@
 	// A lower version than before, or other rules at the same one, show that the store
 	// was
 	// restored from a copy. Whether its rules are newer is decided by their revision.
-	private void adoptIfChanged(StoredValue value, String source) {
+	private boolean adoptIfChanged(StoredValue value, String source) {
 		synchronized (this) {
 			if (value.version() == this.latestVersion && Arrays.equals(value.value(), this.latestValue)) {
-				return;
+				return false;
 			}
 			this.latestVersion = value.version();
 			this.latestValue = value.value();
 		}
 		this.rules.tryAdopt(value.value(), source);
+		return true;
 	}
 
 }
