Read the state of gateways on their event loops in tests

The test read the list of entries on its own thread while the gateway changed it. The tests that iterate it read it on the event loop of the gateway now; what they check is unchanged.

--- a/daemon/src/test/java/org/baobabknot/gateway/DeadlyRequestTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/DeadlyRequestTests.java
@@ -78,7 +78,7 @@
 		this.fleet.start(GATEWAYS);
 		GatewayFixture.await(() -> this.fleet.gateways.stream()
 			.allMatch((gateway) -> gateway.view().configuration().isPresent()
-					&& gateway.view().entryInstances().size() == GATEWAYS
+					&& GatewayFleet.onLoop(gateway, () -> gateway.view().entryInstances()).size() == GATEWAYS
 					&& this.engines.stream().allMatch((engine) -> gateway.view().target(engine.id()).isPresent())));
 		for (int gateway = 0; gateway < GATEWAYS; gateway++) {
 			assertThat(stream(gateway, "sound").status(), is(200));
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -114,6 +115,17 @@
 		return this.gateways.stream().filter(Gateway::keysFresh).count();
 	}
 
+	/**
+	 * Reads the state of a gateway on its event loop, which changes it.
+	 * @param <T> type of what is read
+	 * @param gateway the gateway
+	 * @param read what reads it
+	 * @return what was read
+	 */
+	static <T> T onLoop(Gateway gateway, Callable<T> read) {
+		return gateway.loop().submit(read).syncUninterruptibly().getNow();
+	}
+
 	static long configurationVersion(Gateway gateway) {
 		return gateway.view().configuration().map(FleetConfiguration::version).orElse(0L);
 	}
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitedFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitedFleet.java
@@ -63,7 +63,7 @@
 		GatewayFixture.await(() -> this.fleet.gateways.stream()
 			.allMatch((gateway) -> this.engines.stream()
 				.allMatch((engine) -> gateway.view().target(engine.id()).isPresent())
-					&& gateway.view().entries().size() == gateways));
+					&& GatewayFleet.onLoop(gateway, () -> gateway.view().entries()).size() == gateways));
 	}
 
 	/**
--- a/daemon/src/test/java/org/baobabknot/gateway/LostReadersTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LostReadersTests.java
@@ -53,7 +53,10 @@
 				.entries()
 				.stream()
 				.filter((entry) -> entry.instance().equals(gateway.instance()))
-				.anyMatch((entry) -> ValueSources.forEntry(gateway.view().entries(), entry).sources().isEmpty());
+				.anyMatch((entry) -> ValueSources
+					.forEntry(GatewayFleet.onLoop(gateway, () -> gateway.view().entries()), entry)
+					.sources()
+					.isEmpty());
 		}
 
 		@Test
@@ -65,7 +68,8 @@
 				fleet.start(GATEWAYS);
 				fleet.awaitVersion(1);
 				GatewayFixture.await(() -> fleet.gateways.stream()
-					.allMatch((gateway) -> gateway.view().entryInstances().size() == GATEWAYS));
+					.allMatch((gateway) -> GatewayFleet.onLoop(gateway, () -> gateway.view().entryInstances())
+						.size() == GATEWAYS));
 				TimeUnit.MILLISECONDS.sleep(FROZEN_MS);
 				List<Gateway> readers = new ArrayList<>(fleet.gateways);
 				readers.removeIf((gateway) -> !readsStore(gateway));
--- a/daemon/src/test/java/org/baobabknot/gateway/StoreCallFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/StoreCallFleet.java
@@ -92,8 +92,10 @@
 
 	private boolean isRecovered() {
 		return this.fleet.countGatewaysWithFreshKeys() == GATEWAYS
-				&& this.store.keys("baobabknot/entries/").size() == GATEWAYS && this.fleet.gateways.stream()
-					.allMatch((gateway) -> gateway.view().entryInstances().size() == GATEWAYS);
+				&& this.store.keys("baobabknot/entries/").size() == GATEWAYS
+				&& this.fleet.gateways.stream()
+					.allMatch((gateway) -> GatewayFleet.onLoop(gateway, () -> gateway.view().entryInstances())
+						.size() == GATEWAYS);
 	}
 
 	private void awaitRecovery() throws InterruptedException {
--- a/daemon/src/test/java/org/baobabknot/gateway/StoreRestoredTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/StoreRestoredTests.java
@@ -64,8 +64,9 @@
 		this.fleet.start(GATEWAYS);
 		this.fleet.awaitVersion(1);
 		GatewayFixture.await(() -> this.fleet.gateways.stream()
-			.allMatch((gateway) -> gateway.view().entryInstances().size() == GATEWAYS
-					&& gateway.view().target("t1").isPresent()));
+			.allMatch(
+					(gateway) -> GatewayFleet.onLoop(gateway, () -> gateway.view().entryInstances()).size() == GATEWAYS
+							&& gateway.view().target("t1").isPresent()));
 	}
 
 	@AfterEach
--- a/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/TaintedPromptTests.java
@@ -75,7 +75,7 @@
 		this.fleet.start(GATEWAYS);
 		GatewayFixture.await(() -> this.fleet.gateways.stream()
 			.allMatch((gateway) -> gateway.view().configuration().isPresent()
-					&& gateway.view().entryInstances().size() == GATEWAYS
+					&& GatewayFleet.onLoop(gateway, () -> gateway.view().entryInstances()).size() == GATEWAYS
 					&& this.engines.stream().allMatch((engine) -> gateway.view().target(engine.id()).isPresent())));
 	}
 
