Log the attempts that the end of a request cancels, and replaced targets

Cause: a line "request-ended" told how many targets were tried, not whether one of them might still have brought the response. A stream that broke off because its targets failed looked like one that this process gave up.

Change: "cancelled" in request-ended and the metric baobabknot_cancelled_attempts name the attempts that were open when the request ended; "target-replaced" names the entry that makes a gateway close the connections of a target, with what ran there. No decision changes: the cancellation moved behind the list of attempts.

Measured: PausedTargetTests and GatewayTests pass.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -209,7 +209,7 @@
 		this.valueServer.onEra(this.feed::recordEra);
 		this.feed.onUpdate(this.valueServer::respondToWaiting);
 		this.registration = new EntryRegistration(this.store, this.loop, self, this.view);
-		this.targetPool = new TargetPool(this.loop, this.view);
+		this.targetPool = new TargetPool(this.loop, this.view, log);
 		this.requestGuard = new RequestGuard(settings.instance(), this.loop, log, this.random,
 				new RequestGuard.Peers(this::otherEntries, this::sendReport), new GuardedRequests());
 		this.sharedLimits = new SharedLimits(self, this.loop, System::nanoTime, this.random,
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayMetrics.java
@@ -20,6 +20,8 @@
 
 	private final Counter attemptStarted;
 
+	private final Counter attemptCancelled;
+
 	private final Counter retryStarted;
 
 	private final Counter responseUnmatched;
@@ -40,6 +42,11 @@
 			.name("baobabknot_attempts")
 			.help("requests sent to targets")
 			.register(registry);
+		this.attemptCancelled = Counter.builder()
+			.name("baobabknot_cancelled_attempts")
+			.help("attempts that were open when their request ended, by how it ended")
+			.labelNames("end")
+			.register(registry);
 		this.retryStarted = Counter.builder()
 			.name("baobabknot_repeats")
 			.help("requests sent to a further target")
@@ -86,6 +93,10 @@
 		this.attemptStarted.inc();
 	}
 
+	void attemptsCancelled(String outcome, int count) {
+		this.attemptCancelled.labelValues(outcome).inc(count);
+	}
+
 	void responseUnmatched() {
 		this.responseUnmatched.inc();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -639,9 +640,7 @@
 		if (this.done) {
 			return;
 		}
-		TargetAttempt attempt = this.openAttempts.current();
-		cancelAttempts("the connection of the caller has ended");
-		finish("caller-gone", attempt, detail);
+		finish("caller-gone", this.openAttempts.current(), detail);
 	}
 
 	/**
@@ -672,7 +671,6 @@
 	private void end(String reason) {
 		TargetAttempt attempt = this.openAttempts.current();
 		boolean attemptInFlight = this.openAttempts.all().stream().anyMatch(TargetAttempt::sent);
-		cancelAttempts(reason);
 		switch (UnfinishedRequest.of(this.mayHaveRun || attemptInFlight, this.stream.started())) {
 			case RESPONSE_STARTED -> {
 				finish("stream-broken", attempt, reason);
@@ -706,14 +704,16 @@
 
 	private void finish(String outcome, @Nullable TargetAttempt lastAttempt, String detail) {
 		this.done = true;
+		List<TargetAttempt> cancelled = this.openAttempts.all().stream().filter(TargetAttempt::isOpen).toList();
 		cancelAttempts((detail.isEmpty()) ? outcome : detail);
 		this.screening.release();
 		long durationMs = (System.nanoTime() - this.arrivedNanos) / NANOS_PER_MS;
 		RequestAdmission.Admitted admitted = this.admission;
 		this.gateway.requestCompleted(this, outcome, durationMs);
+		this.gateway.metrics().attemptsCancelled(outcome, cancelled.size());
 		this.log.requestEnded(new RequestLog.Summary(outcome, detail, (admitted != null) ? admitted.route().name() : "",
 				this.attempts + this.attemptsNotRun, this.stream.eventCount(), durationMs,
-				(admitted != null) ? admitted.urgency() : -1), this.head, lastAttempt);
+				(admitted != null) ? admitted.urgency() : -1, cancelled), this.head, lastAttempt);
 	}
 
 	/**
--- a/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/RequestLog.java
@@ -1,5 +1,6 @@
 package org.baobabknot.gateway;
 
+import java.util.List;
 import java.util.stream.Collectors;
 
 import org.baobabknot.fleet.FleetConfiguration;
@@ -116,6 +117,7 @@
 					(lastAttempt != null) ? (System.nanoTime() - lastAttempt.sentNanos()) / NANOS_PER_MS : -1)
 			.with("framing", (lastAttempt != null) ? lastAttempt.framing() : "")
 			.with("sends", summary.attempts())
+			.with("cancelled", summary.cancelledTargets())
 			.with("events", summary.events())
 			.with("tookMs", summary.durationMs())
 			.with("urgency", summary.urgency())
@@ -144,9 +146,14 @@
 	 * @param durationMs time since the last byte of the request, in ms
 	 * @param urgency rank of the request, 0 is the most urgent, -1 if it was refused
 	 * before its rank was known
+	 * @param cancelled attempts that the end of the request has cancelled
 	 */
-	record Summary(String outcome, String detail, String route, int attempts, int events, long durationMs,
-			int urgency) {
+	record Summary(String outcome, String detail, String route, int attempts, int events, long durationMs, int urgency,
+			List<TargetAttempt> cancelled) {
+
+		String cancelledTargets() {
+			return this.cancelled.stream().map((attempt) -> attempt.target().id()).collect(Collectors.joining(","));
+		}
 
 		boolean successful() {
 			return this.outcome.equals("whole") || this.outcome.equals("caller-gone");
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -139,6 +139,14 @@
 		return (head.isCloseDelimited()) ? "close" : "stated";
 	}
 
+	/**
+	 * Returns whether the attempt may still bring a response.
+	 * @return false after its end, its failure or its cancellation
+	 */
+	boolean isOpen() {
+		return !this.done;
+	}
+
 	boolean responseStarted() {
 		return this.responseHead != null;
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -19,6 +19,7 @@
 import org.baobabknot.httpclient.ResponseMatching;
 import org.baobabknot.limit.LimitStatement;
 import org.baobabknot.limit.StatedLimit;
+import org.baobabknot.observe.DecisionLog;
 import org.baobabknot.placement.StatedAvailability;
 import org.baobabknot.placement.TargetLoad;
 import org.baobabknot.provider.TargetRunCheck;
@@ -48,6 +49,8 @@
 
 	private final FleetView view;
 
+	private final DecisionLog log;
+
 	private final Map<String, PooledTarget> pooledTargets = new HashMap<>();
 
 	private final Map<String, PooledTarget> byAddress = new HashMap<>();
@@ -65,9 +68,10 @@
 	/** What other entries have reported of targets that are not in use. */
 	private Function<Long, Optional<LimitStatement>> reported = (start) -> Optional.empty();
 
-	TargetPool(EventLoopGroup group, FleetView view) {
+	TargetPool(EventLoopGroup group, FleetView view, DecisionLog log) {
 		this.group = group;
 		this.view = view;
+		this.log = log;
 	}
 
 	/**
@@ -90,6 +94,7 @@
 			return existing;
 		}
 		if (existing != null) {
+			logReplaced(existing, target);
 			existing.client().close();
 			retainStatements(target.id(), existing);
 			this.byStart.remove(existing.limitedTarget().key());
@@ -177,6 +182,17 @@
 		return limits;
 	}
 
+	private void logReplaced(PooledTarget existing, TargetRecord target) {
+		this.log.line(DecisionLog.Importance.STATE, "target-replaced")
+			.with("target", target.id())
+			.with("address", target.address())
+			.with("started", target.startedMs())
+			.with("addressBefore", existing.address())
+			.with("startedBefore", existing.startedAtMs())
+			.with("inFlight", existing.load().inFlight())
+			.write();
+	}
+
 	// An older list may name a target again after it was removed.
 	private void retainStatements(String id, PooledTarget pooledTarget) {
 		StatedAvailability availability = pooledTarget.load().availability();
