Keep a begun stream open when another target refuses its rest

Callers saw half a stream and the end of their connection. Cause: a stream had begun, its target paused, and the target that was asked to go on answered 4xx, or 400 as not run. The gateway took this for the end of the request and cancelled the paused attempt, which would have gone on. Class: an act that can't be taken back, on the word of one peer about what another one does.

Change: once a stream has begun, an answer that is not its rest is a failed attempt of the target that gave it. The request waits for the paused target or turns to a further one; a statement that it did not run leaves that place to another target.

Evidence: RefusedTakeoverTests failed before in 9 of 15 cases (302, 400, 401, 404, 408, 409, 422, 429, and 400 as not run), each with the stream broken off; passes, with PausedTargetTests and GatewayTests (67 cases).

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -55,6 +55,9 @@
 	/** Targets whose limits one request finds used up before it goes to one without. */
 	private static final int MAX_LIMITS_REACHED = 4;
 
+	/** Smallest status by which a target states that it has failed. */
+	private static final int SERVER_ERROR = 500;
+
 	/** Time in which a suspected request is served or crashes its target. */
 	private static final double SUSPICION_MS = 250;
 
@@ -465,13 +468,17 @@
 		if (!isOpen(attempt)) {
 			return;
 		}
+		if (this.stream.started()) {
+			remainderRefused(attempt, response.status());
+			return;
+		}
 		long now = System.nanoTime();
-		boolean serverError = response.status() >= 500;
+		boolean serverError = response.status() >= SERVER_ERROR;
 		if (serverError) {
 			this.mayHaveRun = true;
 			attempt.load().recordFailure(now);
 			this.log.attemptFailed(attempt, "status " + response.status(), this.stream.eventCount());
-			if (!remove(attempt) || continuesAfterServerError(response.status())) {
+			if (!remove(attempt) || continuesAfterServerError()) {
 				return;
 			}
 		}
@@ -483,20 +490,34 @@
 			}
 			recordLatency(attempt);
 		}
-		if (this.stream.started()) {
-			end("status " + response.status() + " instead of the rest of the stream");
-			return;
-		}
 		finish((serverError) ? "target-failed" : "whole", attempt, "status " + response.status());
 		this.connection.sendResponse(response.status(), PlatformHeaders.callerHeaders(responseHead), bytes);
 	}
 
-	private boolean continuesAfterServerError(int status) {
-		Route route = route();
-		if (this.stream.started()) {
-			retryOrGiveUp("status " + status);
-			return true;
+	// The status is an answer of one target to the rest of a stream that another one has
+	// begun and may finish.
+	private void remainderRefused(TargetAttempt attempt, int status) {
+		String reason = "status " + status + " instead of the rest of the stream";
+		if (status >= SERVER_ERROR) {
+			attempt.load().recordFailure(System.nanoTime());
 		}
+		this.log.attemptFailed(attempt, reason, this.stream.eventCount());
+		if (remove(attempt)) {
+			this.screening.release();
+			retryOrGiveUp(reason);
+		}
+	}
+
+	/**
+	 * Returns whether the caller has a part of a stream.
+	 * @return whether its first event was sent
+	 */
+	boolean streamStarted() {
+		return this.stream.started();
+	}
+
+	private boolean continuesAfterServerError() {
+		Route route = route();
 		if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
 			startAttempt();
 			return true;
--- a/daemon/src/main/java/org/baobabknot/gateway/NotRunCause.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/NotRunCause.java
@@ -18,6 +18,24 @@
 		}
 	},
 
+	/** The target takes the request for faulty, although another one has begun it. */
+	REMAINDER_REFUSED {
+		@Override
+		boolean reachesTarget() {
+			return false;
+		}
+
+		@Override
+		boolean costsTarget() {
+			return true;
+		}
+
+		@Override
+		boolean showsFault() {
+			return false;
+		}
+	},
+
 	/** Another target has its address, or it was not sent for want of a connection. */
 	NOT_DELIVERED {
 		@Override
@@ -63,7 +81,7 @@
 	};
 
 	/**
-	 * Returns whether the intended target got the request.
+	 * Returns whether the intended target refused for want of room.
 	 * @return whether its load is known from the refusal
 	 */
 	abstract boolean reachesTarget();
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -274,7 +274,11 @@
 	}
 
 	private void ended(TargetResponseHead completedResponse, ResponseHead completedHead) {
-		if (completedResponse.notRun() && completedResponse.status() == HttpResponseStatus.BAD_REQUEST.code()) {
+		boolean badRequest = completedResponse.status() == HttpResponseStatus.BAD_REQUEST.code();
+		if (completedResponse.notRun() && badRequest && this.request.streamStarted()) {
+			this.request.attemptNotRun(this, "remainder-refused", NotRunCause.REMAINDER_REFUSED);
+		}
+		else if (completedResponse.notRun() && badRequest) {
 			// The request is at fault, so any other target would refuse it too.
 			responseEnded(completedResponse, completedHead);
 		}
