Return a stream to its paused target when the one that took it over fails

Callers saw a stream broken off after a few more events. Cause: the first event of a second target cancelled the paused attempt for good. When the second one then broke off, ended inside an event or crashed, both places that the operators allow were used up, although the first target was sound and had gone on meanwhile.

Change: a target that was left because another one went on first may be asked for the rest, after the last event that the caller has. It is no further target, so the limit of targets holds; it draws on the retry budget. Its text can't be joined to that of the other target without a new run, so its first run stays cancelled. The same holds when the second target falls silent.

A target that failed is not asked again.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -77,6 +78,9 @@
 
 	private final Set<String> triedTargets = new HashSet<>();
 
+	/** Sound targets that were left because another one went on first. */
+	private final Set<String> leftTargets = new HashSet<>();
+
 	/** Targets whose limits are used up for this request. */
 	private final Set<String> limitedTargets = new HashSet<>();
 
@@ -88,10 +92,14 @@
 
 	private long deadlineNanos;
 
+	/** Targets that may have run the request. */
 	private int attempts;
 
 	private int attemptsNotRun;
 
+	/** Attempts at targets that were tried before. */
+	private int returns;
+
 	private int refusedConnections;
 
 	private boolean mayHaveRun;
@@ -235,15 +243,38 @@
 	}
 
 	private PlacementResult chooseTarget(long now) {
+		PlacementResult further = (mayTryFurtherTarget()) ? chooseTarget(this.triedTargets, now)
+				: new PlacementResult.NoTarget();
+		if (further instanceof PlacementResult.TargetChosen || this.leftTargets.isEmpty()) {
+			return further;
+		}
+		PlacementResult left = chooseTarget(targetsNotLeft(), now);
+		return (left instanceof PlacementResult.TargetChosen) ? left : further;
+	}
+
+	private PlacementResult chooseTarget(Set<String> excluded, long now) {
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		return this.gateway.selection()
-			.choose(query(),
+			.choose(query(excluded),
 					estimate(admitted.route(), admitted.service(), now, (this.deadlineNanos - now) / NANOS_PER_MS));
 	}
 
-	private TargetSelection.Query query() {
+	private boolean mayTryFurtherTarget() {
+		return this.attempts < route().maxAttempts();
+	}
+
+	private Set<String> targetsNotLeft() {
+		return this.gateway.view()
+			.targets(service().name())
+			.stream()
+			.map(TargetRecord::id)
+			.filter((id) -> !this.leftTargets.contains(id))
+			.collect(Collectors.toSet());
+	}
+
+	private TargetSelection.Query query(Set<String> tried) {
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		Set<String> excluded = new HashSet<>(this.triedTargets);
+		Set<String> excluded = new HashSet<>(tried);
 		excluded.addAll(this.limitedTargets);
 		return new TargetSelection.Query(admitted.service(), this.head.model(), admitted.regions(), excluded,
 				this.limitedTargets.size() < MAX_LIMITS_REACHED, trialPlacement(), this.screening.suspectedContents());
@@ -281,8 +312,14 @@
 				this.gateway.pooledTarget(target), this.head.requestId(), expectsStream, chosen.predictedMs(), now);
 		this.openAttempts.start(attempt);
 		this.stream.open(attempt);
-		this.attempts++;
-		this.triedTargets.add(target.id());
+		this.leftTargets.remove(target.id());
+		if (this.triedTargets.add(target.id())) {
+			this.attempts++;
+		}
+		else {
+			this.returns++;
+			attempt.markReturn();
+		}
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		this.gateway.send(attempt, this.head, this.headers, this.body, admitted.workspace(), admitted.urgency(),
 				remainingMs, this.stream.resumeAfter());
@@ -315,7 +352,7 @@
 						now);
 		}
 		this.log.attemptFailed(attempt, reason, this.stream.eventCount());
-		this.attempts--;
+		this.attempts -= (attempt.isReturn()) ? 0 : 1;
 		this.attemptsNotRun++;
 		this.refusedConnections += (cause.costsTarget()) ? 0 : 1;
 		if (!wasCurrent) {
@@ -381,6 +418,7 @@
 				other.load().recordFailure(System.nanoTime());
 			}
 			this.log.attemptFailed(other, "another target goes on", this.stream.eventCount());
+			this.leftTargets.add(other.target().id());
 			other.cancel("another target goes on");
 			this.stream.drop(other);
 		});
@@ -407,7 +445,7 @@
 		if (this.screening.isQuarantined()) {
 			rejectQuarantined();
 		}
-		else if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
+		else if (route.repeatable() && mayTryAnotherTarget() && mayRetry()) {
 			this.screening.admit(new GuardOutcome());
 		}
 		else {
@@ -415,6 +453,11 @@
 		}
 	}
 
+	// A target that was left is no further one: it has not failed, and may run the rest.
+	private boolean mayTryAnotherTarget() {
+		return mayTryFurtherTarget() || !this.leftTargets.isEmpty();
+	}
+
 	private boolean mayRetry() {
 		return hasTimeToRetry() && this.gateway.tryRetry(service().name());
 	}
@@ -518,7 +561,7 @@
 
 	private boolean continuesAfterServerError() {
 		Route route = route();
-		if (route.repeatable() && this.attempts < route.maxAttempts() && mayRetry()) {
+		if (route.repeatable() && mayTryFurtherTarget() && mayRetry()) {
 			startAttempt();
 			return true;
 		}
@@ -606,7 +649,7 @@
 		this.openAttempts.onceSilent().forEach((each) -> cancelIfOutdated(each, now));
 		TargetAttempt attempt = this.openAttempts.current();
 		Route route = route();
-		if (this.done || attempt == null || !route.repeatable() || this.attempts >= route.maxAttempts()
+		if (this.done || attempt == null || !route.repeatable() || !mayTryAnotherTarget()
 				|| cancelIfOutdated(attempt, now)) {
 			return;
 		}
@@ -733,7 +776,7 @@
 		this.gateway.requestCompleted(this, outcome, durationMs);
 		this.gateway.metrics().attemptsCancelled(outcome, cancelled.size());
 		this.log.requestEnded(new RequestLog.Summary(outcome, detail, (admitted != null) ? admitted.route().name() : "",
-				this.attempts + this.attemptsNotRun, this.stream.eventCount(), durationMs,
+				this.attempts + this.attemptsNotRun + this.returns, this.stream.eventCount(), durationMs,
 				(admitted != null) ? admitted.urgency() : -1, cancelled), this.head, lastAttempt);
 	}
 
@@ -756,7 +799,7 @@
 			long now = System.nanoTime();
 			long remainingMs = (GatewayRequest.this.deadlineNanos - now) / NANOS_PER_MS;
 			boolean allowed = GatewayRequest.this.gateway.selection()
-				.allows(query(), this.chosen.candidate().target(), now);
+				.allows(query(Set.of()), this.chosen.candidate().target(), now);
 			if (!needsAttempt() || !allowed || remainingMs < MIN_ATTEMPT_MS) {
 				this.target.permits().add(1, now);
 				if (needsAttempt()) {
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -56,6 +56,9 @@
 
 	private boolean written;
 
+	/** Whether the request was at the target before. */
+	private boolean isReturn;
+
 	private boolean done;
 
 	TargetAttempt(GatewayRequest request, BufferBudget bufferBudget, TargetRecord target, PooledTarget pooledTarget,
@@ -119,6 +122,18 @@
 		return this.written;
 	}
 
+	boolean isReturn() {
+		return this.isReturn;
+	}
+
+	/**
+	 * Records that the request was at the target before, so that it may have run there
+	 * whatever this attempt states.
+	 */
+	void markReturn() {
+		this.isReturn = true;
+	}
+
 	/**
 	 * Records that the target has written a complete event.
 	 */
