Do not end a response because of crashes that its own target survived

Callers saw half a stream. Cause: a stream had begun, its target paused, and evidence of other crashes under a part of its prompt arrived in that time. The next step for the silent target found the request quarantined and ended it, with the attempt that was open. A target that has begun the response has not crashed under it.

Change: a quarantine stops further attempts of a begun stream, and the open one goes on. Before the first event nothing changes: the attempt is cancelled, which may keep its target from crashing.

Evidence: QuarantinedStreamTests failed before (stream broken off at its second event); passes, with TaintedPromptTests and DeadlyRequestTests (16 cases).

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -167,9 +167,10 @@
 		}
 	}
 
+	// A target that has begun the response survives the request, so its attempt goes on.
 	private void rejectQuarantined() {
 		if (this.stream.started()) {
-			end("the request is quarantined");
+			giveUp("the request is quarantined");
 		}
 		else {
 			sendError(ErrorResponse.harmfulPrompt());
@@ -851,7 +852,10 @@
 
 		@Override
 		public void held() {
-			if (!GatewayRequest.this.done) {
+			if (GatewayRequest.this.stream.started()) {
+				giveUpIfNeeded("the request is quarantined");
+			}
+			else if (!GatewayRequest.this.done) {
 				rejectQuarantined();
 			}
 		}
