Leave a suspected request at its target while this one is only silent

Callers of a sound request that shared a part with a crash got 502 or a broken stream. Cause: a suspected request runs at one target at a time, so its attempt was cancelled after 500 ms of silence, before another target had taken it; that one could refuse it or fail. Class as before: given up on the absence of a sign.

Change: a suspected request is not taken from a silent target. The cost is the wait at a target that has died without a sign.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -676,23 +676,18 @@
 		return outdated;
 	}
 
-	// The silent target keeps its attempt, since the other one may fail. A suspected
-	// request is at one target at a time.
+	// The silent target keeps its attempt, since the other one may fail.
 	private void tryElsewhere(TargetAttempt attempt, long now) {
 		String reason = "nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms";
 		this.log.attemptSilent(attempt, this.stream.eventCount());
-		if (this.screening.onTrial()) {
-			attempt.cancel("silent");
-			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(), reason));
-			return;
-		}
 		this.mayHaveRun = true;
 		this.openAttempts.setCurrentAside();
 		retryOrGiveUp(reason);
 	}
 
 	private boolean canContinueElsewhere(long now) {
-		return this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
+		// A suspected request is at one target at a time.
+		return !this.screening.onTrial() && this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
 				&& this.gateway.traffic().allowsRetry(service().name(), now)
 				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
 	}
