Do not cut what a target runs because an older entry names it

Callers of orders got 502 while their target ran them; reads and streams were sent again or broke off. Cause: the connections of a target are kept for one start. An entry with any other start (an earlier one, one that is unreadable, or none) replaced the client, and its close failed all that ran, at the moment of the next request. An entry can be old after a restore, or come from another writer. Class: an act that can't be taken back, on a difference instead of on an order.

Change: an entry replaces the client only if its start is later, or its address differs and its start is not earlier. The connections are cut only if the entry shows a later start, after which nothing that ran will be answered; otherwise the client is retired, so that calls in progress go on to their end.

--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -1,5 +1,6 @@
 package org.baobabknot.gateway;
 
+import org.baobabknot.fleet.TargetRecord;
 import org.baobabknot.httpclient.HttpClient;
 import org.baobabknot.limit.LimitStatement;
 import org.baobabknot.limit.StatedLimit;
@@ -22,6 +23,30 @@
 record PooledTarget(String address, long startedAtMs, HttpClient client, TargetLoad load, CrashProbe crashProbe,
 		TargetRunCheck runCheck, LimitedTarget limitedTarget) {
 
+	/**
+	 * Returns whether an entry of this target names another start or address than this
+	 * one, and not an earlier start. Entries may be old, or state no start.
+	 * @param target the entry
+	 * @return whether requests go to what the entry names from now on
+	 */
+	boolean isReplacedBy(TargetRecord target) {
+		boolean statesStart = target.startedMs() > 0;
+		if (target.address().equals(this.address)) {
+			return statesStart && target.startedMs() > this.startedAtMs;
+		}
+		return !statesStart || target.startedMs() >= this.startedAtMs;
+	}
+
+	/**
+	 * Returns whether an entry shows that this start has ended, so that what runs there
+	 * will not be answered.
+	 * @param target the entry
+	 * @return whether the entry is of a later start
+	 */
+	boolean hasEndedBefore(TargetRecord target) {
+		return this.startedAtMs > 0 && target.startedMs() > this.startedAtMs;
+	}
+
 	/**
 	 * Finds out whether the target has crashed after a connection was lost, so that no
 	 * requests of callers have to.
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -89,13 +89,17 @@
 	 */
 	PooledTarget pooledTarget(TargetRecord target) {
 		PooledTarget existing = this.pooledTargets.get(target.id());
-		if (existing != null && existing.address().equals(target.address())
-				&& existing.startedAtMs() == target.startedMs()) {
+		if (existing != null && !existing.isReplacedBy(target)) {
 			return existing;
 		}
 		if (existing != null) {
 			logReplaced(existing, target);
-			existing.client().close();
+			if (existing.hasEndedBefore(target)) {
+				existing.client().close();
+			}
+			else {
+				existing.client().retire();
+			}
 			retainStatements(target.id(), existing);
 			this.byStart.remove(existing.limitedTarget().key());
 		}
