Use a target that has started again with an earlier time

Callers were refused (503) although the only target was sound. Cause: since an entry with an earlier start replaces no client. A clock that went back, or one entry of another writer with a later start, so leaves the gateway with what it knew of a start that does not exist: that it leaves, rests, or has crashed.

Change: an entry with another start at the same address replaces the client again. What runs goes on, because the client is retired; only a later start still cuts.

--- a/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/PooledTarget.java
@@ -24,15 +24,16 @@
 		TargetRunCheck runCheck, LimitedTarget limitedTarget) {
 
 	/**
-	 * Returns whether an entry of this target names another start or address than this
-	 * one, and not an earlier start. Entries may be old, or state no start.
+	 * Returns whether an entry of this target names another start at this address, or
+	 * another address and not an earlier start. Entries may be old, or state no start.
 	 * @param target the entry
 	 * @return whether requests go to what the entry names from now on
 	 */
 	boolean isReplacedBy(TargetRecord target) {
 		boolean statesStart = target.startedMs() > 0;
 		if (target.address().equals(this.address)) {
-			return statesStart && target.startedMs() > this.startedAtMs;
+			// A clock that went back gives the next start an earlier time.
+			return statesStart && target.startedMs() != this.startedAtMs;
 		}
 		return !statesStart || target.startedMs() >= this.startedAtMs;
 	}
