Do not take a target whose entry is missing for one with an old version

A caller got 502 while its target ran the request. Cause: an attempt that has no response yet is cancelled if its target runs a version that is no longer allowed, and a target without an entry counted as version 0 until its first response. Entries expire while the store is down, and may be unreadable or older than the one that was chosen. Class: an act that can't be taken back, on the absence of a sign.

Change: the version for which the target was chosen counts too.

Evidence: UnlistedTargetVersionTests failed on (502); passes.

--- a/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
@@ -143,10 +143,15 @@
 			return false;
 		}
 		long listedVersion = this.view.target(attempt.target().id())
-			.flatMap((target) -> target.holding(model))
-			.map(HeldVersion::version)
+			.map((target) -> heldVersion(target, model))
 			.orElse(0L);
-		return Math.max(listedVersion, attempt.load().version()) < requiredVersion(model, now);
+		// The entry may be missing or old, and a start runs no older version again.
+		long knownVersion = Math.max(heldVersion(attempt.target(), model), attempt.load().version());
+		return Math.max(listedVersion, knownVersion) < requiredVersion(model, now);
+	}
+
+	private static long heldVersion(TargetRecord target, String model) {
+		return target.holding(model).map(HeldVersion::version).orElse(0L);
 	}
 
 	private long requiredVersion(String model, long now) {
