Let emulated engines, and single connections of them, fall silent

EngineBehavior.fallSilent held back the steps of responses only: the engine still accepted connections, read requests, and sent the rest of responses without a length, and one connection alone could not fall silent.

A silence counts what it held back; GatewayFixture fails a test whose engines have not played one.

--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFixture.java
@@ -21,6 +21,7 @@
 import org.baobabknot.emulator.EmulatedConfiguration;
 import org.baobabknot.emulator.EmulatedEngine;
 import org.baobabknot.emulator.EmulatedStore;
+import org.baobabknot.emulator.Silence;
 import org.baobabknot.emulator.TestPorts;
 import org.baobabknot.fleet.StoreRates;
 import org.baobabknot.observe.DecisionLog;
@@ -212,7 +213,11 @@
 	public void close() {
 		this.engines.forEach(EmulatedEngine::close);
 		this.store.close();
+		List<Silence> unplayed = this.engines.stream().flatMap((engine) -> engine.unplayedSilences().stream()).toList();
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+		if (!unplayed.isEmpty()) {
+			throw new AssertionError("no engine has played: " + unplayed);
+		}
 	}
 
 }
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -12,6 +12,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.baobabknot.emulator.EmulatedServer;
+import org.baobabknot.emulator.HttpExchange;
 import org.baobabknot.emulator.TestPorts;
 import org.baobabknot.fleet.EntryRecord;
 import org.baobabknot.fleet.SourceTiming;
