Judge each response that ends early in the soak, at all times

The soak looked at responses that break off only around stops. Now each one that ends early is LOST unless each engine that took the request has failed, its deadline was reached, its caller left, or its gateway was killed or frozen (ResponseChecks). The reasons are counted in excusedEarlyEnds; errors of gateways beside an engine that has not failed are counted in errorsBesideSoundEngines and are no violations.

Replaced in StopChecks: "the last target that ran it broke off". Now each engine that took the request, waiting ones too, has to have failed by the end of the response; the violation names the engines and how far each came. The case of a cancelled engine beside one that broke off was excused before and is LOST now (anEngineCancelledForOneThatFailsLeavesTheCutLost).

--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakChecks.java
@@ -43,10 +43,13 @@
 
 	private final StopChecks stopChecks;
 
+	private final ResponseChecks responseChecks;
+
 	SoakChecks(SoakHistory history) {
 		this.history = history;
 		this.targets = TargetRecords.of(history.engines());
 		this.stopChecks = new StopChecks(history, this.targets, this.violations::add);
+		this.responseChecks = new ResponseChecks(history, this.targets, this.violations::add);
 	}
 
 	/**
@@ -57,6 +60,14 @@
 		return this.stopChecks.excused();
 	}
 
+	/**
+	 * Returns the checks of responses that ended early outside of stops.
+	 * @return the checks, to be read after the run
+	 */
+	ResponseChecks responseChecks() {
+		return this.responseChecks;
+	}
+
 	/**
 	 * Checks all rules.
 	 * @return the violations
@@ -71,7 +82,9 @@
 		for (SoakRequest request : this.history.requests()) {
 			checkRuns(request);
 			answerChecks.check(request);
-			this.stopChecks.check(request);
+			if (!this.stopChecks.check(request)) {
+				this.responseChecks.check(request);
+			}
 		}
 		answerChecks.checkTargets(this.history.requests(), this.history.engines());
 		this.history.engines().forEach(this::checkStatements);
--- a/benchmarks/src/main/java/org/baobabknot/soak/SoakExperiment.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/SoakExperiment.java
@@ -106,6 +106,10 @@
 			ObjectNode figures = figures(seed, history, faults, violations).put("stalls", stalls);
 			ObjectNode excused = figures.putObject("excusedCutsInStops");
 			checks.excusedCuts().forEach(excused::put);
+			ObjectNode early = figures.putObject("excusedEarlyEnds");
+			checks.responseChecks().excused().forEach(early::put);
+			ObjectNode errors = figures.putObject("errorsBesideSoundEngines");
+			checks.responseChecks().errorsBesideSoundEngines().forEach(errors::put);
 			return new ExperimentResult(figures, violations.isEmpty());
 		}
 		finally {
--- a/benchmarks/src/main/java/org/baobabknot/soak/StopChecks.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/StopChecks.java
@@ -1,6 +1,7 @@
 package org.baobabknot.soak;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -48,17 +49,23 @@
 		return Map.copyOf(this.excused);
 	}
 
-	void check(SoakRequest request) {
+	/**
+	 * Checks a request that was cut off in a stop.
+	 * @param request the request
+	 * @return whether it was, so that this check judges it
+	 */
+	boolean check(SoakRequest request) {
 		long endNanos = request.exchange().endNanos();
 		if (!request.exchange().cut() || request.exchange().sentNanos() == 0) {
-			return;
+			return false;
 		}
-		this.history.disturbances()
+		Optional<Disturbance> cause = this.history.disturbances()
 			.stream()
 			.filter((each) -> each.planned() && each.gateway() == request.gateway() && each.fromNanos() <= endNanos
 					&& endNanos <= each.fromNanos() + this.graceNanos + AFTER_GRACE_NANOS)
-			.findFirst()
-			.ifPresent((stop) -> check(request, stop));
+			.findFirst();
+		cause.ifPresent((stop) -> check(request, stop));
+		return cause.isPresent();
 	}
 
 	private void check(SoakRequest request, Disturbance stop) {
@@ -66,8 +73,9 @@
 		if (excuse.isEmpty()) {
 			this.violations.accept(new SoakViolation("LOST: " + request.describe() + " was cut "
 					+ TimeUnit.NANOSECONDS.toMillis(request.exchange().endNanos() - stop.fromNanos())
-					+ " ms after SIGTERM, with " + request.exchange().body().length() + " bytes of its response",
-					request));
+					+ " ms after SIGTERM, with " + request.exchange().body().length()
+					+ " bytes of its response, engines "
+					+ this.targets.progress(request.message().id(), request.exchange().endNanos()), request));
 		}
 		else {
 			this.excused.merge(excuse, 1, Integer::sum);
@@ -89,8 +97,8 @@
 		if (endNanos - request.exchange().beginNanos() >= TimeUnit.MILLISECONDS.toNanos(request.timeoutMs())) {
 			return "deadline";
 		}
-		if (passedOn && this.targets.brokeOff(id)) {
-			return "target broke off";
+		if (passedOn && this.targets.allFailed(id, endNanos + ResponseChecks.RECORDING_NANOS)) {
+			return "each engine failed";
 		}
 		boolean late = passedOn && sentNanos <= stop.fromNanos() + LATE_NANOS
 				&& this.targets.atWork(id, stop.fromNanos() + this.graceNanos * 5 / 6);
--- a/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
@@ -1,10 +1,12 @@
 package org.baobabknot.soak;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 
 import org.baobabknot.emulator.EmulatedEngine;
@@ -16,6 +18,9 @@
  */
 final class TargetRecords {
 
+	/** Lowest status that says that a run has failed. */
+	private static final int STATUS_ERROR = 500;
+
 	private final Map<String, List<Entry>> entries = new HashMap<>();
 
 	TargetRecords(Stream<Entry> entries) {
@@ -60,17 +65,54 @@
 	}
 
 	/**
-	 * Returns whether the last target that ran a request has broken it off.
+	 * Returns how far each target that took a request has come with it. Targets that
+	 * refused it are left out.
 	 * @param requestId id of the request
-	 * @return whether the target ended before its response was whole
+	 * @param beforeNanos monotonic time up to which events count
+	 * @return the last state by target
 	 */
-	boolean brokeOff(String requestId) {
-		String last = "";
+	Map<String, Progress> progress(String requestId, long beforeNanos) {
+		Map<String, Progress> progress = new TreeMap<>();
+		Map<String, Integer> statuses = new HashMap<>();
 		for (Entry entry : of(requestId)) {
-			last = (entry.event().kind() == EventKind.STARTED) ? entry.target() : last;
+			String target = entry.target();
+			if (entry.event().nanos() >= beforeNanos) {
+				break;
+			}
+			switch (entry.event().kind()) {
+				case RECEIVED ->
+					progress.compute(target, (id, last) -> (last == Progress.AT_WORK) ? last : Progress.WAITING);
+				// Runs that waited begin even if their connection has ended meanwhile.
+				case STARTED -> {
+					progress.compute(target,
+							(id, last) -> (last == null || last == Progress.WAITING) ? Progress.AT_WORK : last);
+					statuses.remove(target);
+				}
+				case ANSWERED -> {
+					statuses.put(target, entry.event().status());
+					progress.remove(target, Progress.WAITING);
+				}
+				case ENDED -> progress.put(target,
+						(statuses.getOrDefault(target, 0) >= STATUS_ERROR) ? Progress.ANSWERED_ERROR : Progress.ENDED);
+				case BROKE_OFF -> progress.put(target, Progress.BROKE_OFF);
+				case CRASHED -> progress.put(target, Progress.CRASHED);
+				case CANCELLED -> progress.put(target, Progress.CANCELLED);
+				default -> {
+				}
+			}
 		}
-		EventKind state = states(requestId, Long.MAX_VALUE).get(last);
-		return state == EventKind.BROKE_OFF || state == EventKind.CRASHED;
+		return progress;
+	}
+
+	/**
+	 * Returns whether each target that took a request is known to have failed.
+	 * @param requestId id of the request
+	 * @param beforeNanos monotonic time up to which failures count
+	 * @return false if no target took it, or if one of them has not failed
+	 */
+	boolean allFailed(String requestId, long beforeNanos) {
+		Collection<Progress> progress = progress(requestId, beforeNanos).values();
+		return !progress.isEmpty() && progress.stream().allMatch(Progress::failed);
 	}
 
 	/**
@@ -100,6 +142,42 @@
 		return this.entries.keySet().stream().filter((id) -> starts(id) > 0).toList();
 	}
 
+	/** How far a target has come with a request. */
+	enum Progress {
+
+		/** It waits for a slot. */
+		WAITING(false),
+
+		/** It runs. */
+		AT_WORK(false),
+
+		/** The whole response was sent. */
+		ENDED(false),
+
+		/** The gateway closed the connection before the end. */
+		CANCELLED(false),
+
+		/** The response says that the run has failed. */
+		ANSWERED_ERROR(true),
+
+		/** The target ended its response or its connection before the end. */
+		BROKE_OFF(true),
+
+		/** The target crashed under the request. */
+		CRASHED(true);
+
+		private final boolean failed;
+
+		Progress(boolean failed) {
+			this.failed = failed;
+		}
+
+		boolean failed() {
+			return this.failed;
+		}
+
+	}
+
 	/**
 	 * An event and its target.
 	 *
--- a/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
@@ -21,6 +21,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 /**
  * Tests that the checks of the soak count what the rules count, and excuse only what they
@@ -43,7 +44,20 @@
 	}
 
 	private static Entry event(String target, EventKind kind, double seconds) {
-		return new Entry(target, new EngineEvent(kind, "r1", 0, nanos(seconds), 0, 200, Double.POSITIVE_INFINITY));
+		return event(target, kind, seconds, 200);
+	}
+
+	private static Entry event(String target, EventKind kind, double seconds, int status) {
+		return new Entry(target, new EngineEvent(kind, "r1", 0, nanos(seconds), 0, status, Double.POSITIVE_INFINITY));
+	}
+
+	/** Two engines took the request, the first of which broke it off. */
+	private static Entry[] twoEngines(Entry... endOfSecond) {
+		return Stream.concat(
+				Stream.of(event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.BROKE_OFF, 11.4),
+						event("t2", EventKind.RECEIVED, 11.5), event("t2", EventKind.STARTED, 11.5)),
+				Stream.of(endOfSecond))
+			.toArray(Entry[]::new);
 	}
 
 	private static SoakRequest request(boolean http10, String id, Map<String, String> headers, String body, End end,
@@ -102,6 +116,26 @@
 			assertThat(SoakChecksTests.this.violations, empty());
 		}
 
+		@Test
+		void twoEnginesThatFailInAnyWayExcuseTheCut() {
+			check(11, 13, twoEngines(event("t2", EventKind.ANSWERED, 12, 500), event("t2", EventKind.ENDED, 12)));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
+		@Test
+		void aSoundEngineBesideOneThatFailedLeavesTheCutLost() {
+			check(11, 13, twoEngines(event("t2", EventKind.ANSWERED, 12), event("t2", EventKind.CANCELLED, 13)));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void anEngineCancelledForOneThatFailsLeavesTheCutLost() {
+			check(11, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11),
+					event("t2", EventKind.RECEIVED, 11.9), event("t2", EventKind.STARTED, 12),
+					event(EventKind.CANCELLED, 12.1), event("t2", EventKind.BROKE_OFF, 12.9));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
 		@ParameterizedTest
 		@CsvSource({ "11.2, 0", "11.21, 1" })
 		void aRequestThatIsNotPassedOnMayCrossTheCloseFor200Ms(double endSeconds, int count) {
@@ -121,6 +155,56 @@
 
 	}
 
+	@Nested
+	class EarlyEnds {
+
+		private ResponseChecks checks;
+
+		private void check(End end, double endSeconds, Entry... entries) {
+			this.checks = new ResponseChecks(SoakChecksTests.this.history, new TargetRecords(Stream.of(entries)),
+					SoakChecksTests.this.violations::add);
+			this.checks.check(request(false, "r1", Map.of(), WORK.events("r1", 2), end, 11, endSeconds));
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "CLOSED, 13, 1", "RESET, 13, 1", "SILENT, 13, 1", "GAVE_UP, 13, 0", "COMPLETE, 13, 0",
+				"CLOSED, 26, 0" })
+		void areLostBeforeTheDeadlineWhileAnEngineIsAtWork(End end, double endSeconds, int count) {
+			check(end, endSeconds, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11));
+			assertThat(SoakChecksTests.this.violations, hasSize(count));
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "WAITING", "ENDED", "CANCELLED" })
+		void areLostWithAnEngineThatHasNotFailed(String state) {
+			check(End.CLOSED, 13, (state.equals("WAITING")) ? new Entry[] { event(EventKind.RECEIVED, 11) }
+					: twoEngines(event("t2", EventKind.valueOf(state), 12)));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void areExcusedByFailuresOfEachEngine() {
+			check(End.CLOSED, 13,
+					twoEngines(event("t2", EventKind.ANSWERED, 12, 500), event("t2", EventKind.ENDED, 12)));
+			assertThat(SoakChecksTests.this.violations, empty());
+			assertThat(this.checks.excused(), is(Map.of("each engine failed", 1)));
+		}
+
+		@Test
+		void areNotExcusedByAFailureAfterTheEnd() {
+			check(End.CLOSED, 13, twoEngines(event("t2", EventKind.BROKE_OFF, 13.1)));
+			assertThat(SoakChecksTests.this.violations, hasSize(1));
+		}
+
+		@Test
+		void areExcusedByADisturbanceOfTheGateway() {
+			SoakChecksTests.this.history.add(new SoakHistory.Disturbance(0, nanos(12), nanos(12.5), false));
+			check(End.CLOSED, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
+	}
+
 	@Nested
 	class Answers {
 
