Keep the promise of a status that a request has not run

Statuses 408, 421, 429 and 503 promise that a request has not run. A gateway passed on such an answer of one target although another attempt of the same repeatable request may have run or was still open. Now such an answer, and 425, is a failed attempt while another one is open: the request tries a further target or waits for the open one. If none is left and another attempt may have run, the caller gets 502. Which attempts may have run is kept per attempt, so that one which was only silent and then answers does not count against its own answer. A 5xx of the only target that got the request is passed on, where it was replaced by a 502 if no other target could be chosen.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -102,7 +102,8 @@
 
 	private int refusedConnections;
 
-	private boolean mayHaveRun;
+	/** Attempts that may have run at their targets. */
+	private final Set<TargetAttempt> attemptsThatMayHaveRun = new HashSet<>();
 
 	private boolean done;
 
@@ -283,13 +284,13 @@
 
 	private TrialPlacement trialPlacement() {
 		if (this.screening.onTrial()) {
-			return (this.mayHaveRun) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
+			return (mayHaveRun()) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
 		}
-		return (this.mayHaveRun) ? TrialPlacement.APART : TrialPlacement.NONE;
+		return (mayHaveRun()) ? TrialPlacement.APART : TrialPlacement.NONE;
 	}
 
 	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
-		if (this.mayHaveRun || this.stream.started()) {
+		if (mayHaveRun() || this.stream.started()) {
 			giveUp("all targets are " + reason);
 		}
 		else {
@@ -301,7 +302,7 @@
 		double objectiveLeftMs = SilencePolicy.objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
 		// A request that may have run, or was tried before, is not refused because the
 		// targets have no free slots, so competing requests are not counted.
-		boolean refusable = this.attempts == 0 && this.attemptsNotRun == 0 && !this.mayHaveRun;
+		boolean refusable = this.attempts == 0 && this.attemptsNotRun == 0 && !mayHaveRun();
 		return this.gateway.traffic().estimate(this.head, service, objectiveLeftMs, remainingMs, refusable, now);
 	}
 
@@ -337,6 +338,7 @@
 			return;
 		}
 		boolean wasCurrent = remove(attempt);
+		this.attemptsThatMayHaveRun.remove(attempt);
 		long now = System.nanoTime();
 		if (cause.showsFault()
 				|| (cause.reachesTarget() && attempt.load().estimatedRequests(now) < attempt.target().slots())) {
@@ -380,7 +382,7 @@
 			return;
 		}
 		boolean wasCurrent = remove(attempt);
-		this.mayHaveRun = true;
+		this.attemptsThatMayHaveRun.add(attempt);
 		attempt.load().recordFailure(System.nanoTime());
 		this.log.attemptFailed(attempt, failure.toString(), this.stream.eventCount());
 		String reason = failure.toString();
@@ -519,10 +521,19 @@
 		long now = System.nanoTime();
 		boolean serverError = response.status() >= SERVER_ERROR;
 		if (serverError) {
-			this.mayHaveRun = true;
 			attempt.load().recordFailure(now);
-			this.log.attemptFailed(attempt, "status " + response.status(), this.stream.eventCount());
-			if (!remove(attempt) || continuesAfterServerError()) {
+		}
+		boolean promiseUnknown = response.promisesNotRun() && mayHaveRunBeside(attempt);
+		if (serverError || promiseUnknown || (response.isPutOff() && this.openAttempts.all().size() > 1)) {
+			String reason = "status " + response.status();
+			this.attemptsThatMayHaveRun.add(attempt);
+			this.log.attemptFailed(attempt, reason, this.stream.eventCount());
+			if (!remove(attempt) || continuesAfterFailure()) {
+				return;
+			}
+			// The target knows nothing of the others.
+			if (promiseUnknown) {
+				end(reason);
 				return;
 			}
 		}
@@ -560,9 +571,18 @@
 		return this.stream.started();
 	}
 
-	private boolean continuesAfterServerError() {
+	private boolean mayHaveRunBeside(TargetAttempt attempt) {
+		return this.attemptsThatMayHaveRun.stream().anyMatch((other) -> other != attempt);
+	}
+
+	private boolean mayHaveRun() {
+		return !this.attemptsThatMayHaveRun.isEmpty();
+	}
+
+	private boolean continuesAfterFailure() {
 		Route route = route();
-		if (route.repeatable() && mayTryFurtherTarget() && mayRetry()) {
+		if (route.repeatable() && mayTryFurtherTarget()
+				&& chooseTarget(System.nanoTime()) instanceof PlacementResult.TargetChosen && mayRetry()) {
 			startAttempt();
 			return true;
 		}
@@ -680,7 +700,7 @@
 	private void tryElsewhere(TargetAttempt attempt, long now) {
 		String reason = "nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms";
 		this.log.attemptSilent(attempt, this.stream.eventCount());
-		this.mayHaveRun = true;
+		this.attemptsThatMayHaveRun.add(attempt);
 		this.openAttempts.setCurrentAside();
 		retryOrGiveUp(reason);
 	}
@@ -731,7 +751,7 @@
 	private void end(String reason) {
 		TargetAttempt attempt = this.openAttempts.current();
 		boolean attemptInFlight = this.openAttempts.all().stream().anyMatch(TargetAttempt::sent);
-		switch (UnfinishedRequest.of(this.mayHaveRun || attemptInFlight, this.stream.started())) {
+		switch (UnfinishedRequest.of(mayHaveRun() || attemptInFlight, this.stream.started())) {
 			case RESPONSE_STARTED -> {
 				finish("stream-broken", attempt, reason);
 				this.connection.abort();
@@ -837,7 +857,7 @@
 				return;
 			}
 			String detail = "a target crashed under a request that has something in common with this one";
-			if (GatewayRequest.this.mayHaveRun) {
+			if (mayHaveRun()) {
 				giveUp(detail);
 			}
 			else {
