Send an order that was never written to the next agent

Callers saw 504 unknown, and so a lost order, when the connection that was chosen for it had just been closed. Requests are opened on the event loop of the connection. While that loop stalls (a second, say) the connection may be closed, and what was opened meanwhile is told of a lost connection although no frame was written. The entry took this for a request in flight, asked the agent for the outcome, and reported it as unknown where the agent had restarted or gone. design.md promises otherwise: "unless they were never sent".

A stream that is opened on a closed connection now keeps the number 0. The attempt ends as NOT_SENT, so that the order goes to the next agent, and no later refusal says that it may have run. A query for an outcome is repeated as before.

--- a/daemon/src/main/java/org/baobabknot/entry/AgentAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/entry/AgentAttempt.java
@@ -6,6 +6,7 @@
 import org.baobabknot.protocol.Stream;
 import org.baobabknot.protocol.generated.Cancel;
 import org.baobabknot.protocol.generated.Frame;
+import org.baobabknot.retry.AttemptOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -60,7 +61,9 @@
 	public void onConnectionLost(Stream stream, ConnectionFailure failure) {
 		// Always deferred, because the connection may call this method while the stream
 		// is being opened, before setStream.
-		this.callerLoop.execute(() -> this.exchange.connectionLost(this, failure));
+		AttemptOutcome outcome = (stream.wasOpened() || this.resolving) ? AttemptOutcome.CONNECTION_LOST
+				: AttemptOutcome.NOT_SENT;
+		this.callerLoop.execute(() -> this.exchange.connectionLost(this, outcome, failure));
 	}
 
 	void setStream(Stream openedStream) {
--- a/daemon/src/main/java/org/baobabknot/entry/Exchange.java
+++ b/daemon/src/main/java/org/baobabknot/entry/Exchange.java
@@ -161,13 +161,13 @@
 		}
 	}
 
-	void connectionLost(AgentAttempt source, ConnectionFailure failure) {
+	void connectionLost(AgentAttempt source, AttemptOutcome outcome, ConnectionFailure failure) {
 		if (source != this.attempt || this.done) {
 			return;
 		}
 		recordResult(source, false);
-		this.mayHaveRun = true;
-		retryOrGiveUp(source, AttemptOutcome.CONNECTION_LOST, failure.toString());
+		this.mayHaveRun |= !outcome.notRun();
+		retryOrGiveUp(source, outcome, failure.toString());
 	}
 
 	private void startFirstAttempt() {
--- a/protocol/src/main/java/org/baobabknot/protocol/Connection.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Connection.java
@@ -149,7 +149,7 @@
 
 	/**
 	 * Opens a stream. If the connection is closed, {@link FrameHandler#onConnectionLost}
-	 * is called.
+	 * is called and the stream keeps the number 0.
 	 * @param first first frame of the stream
 	 * @param handler receives the peer's frames
 	 * @return the stream
@@ -313,12 +313,13 @@
 	}
 
 	private void openInLoop(Stream stream, Frame.Builder first, FrameHandler handler) {
-		this.lastLocalStreamId += 2;
-		stream.initialize(this.lastLocalStreamId, handler);
 		if (this.closeFuture.isDone()) {
+			stream.initialize(0, handler);
 			stream.connectionLost(this.closeFuture.join());
 			return;
 		}
+		this.lastLocalStreamId += 2;
+		stream.initialize(this.lastLocalStreamId, handler);
 		this.streams.put(stream.id(), stream);
 		this.openStreams = this.streams.size();
 		write(first.setStream(stream.id()));
@@ -435,12 +436,8 @@
 		return this.settings.ticker().nanoTime();
 	}
 
-	long ageNanos() {
-		return nowNanos() - this.startNanos;
-	}
-
 	boolean isHelloOverdue() {
-		return !established() && ageNanos() > this.settings.helloTimeout().toNanos();
+		return !established() && nowNanos() - this.startNanos > this.settings.helloTimeout().toNanos();
 	}
 
 	ConnectionListener listener() {
--- a/protocol/src/main/java/org/baobabknot/protocol/Stream.java
+++ b/protocol/src/main/java/org/baobabknot/protocol/Stream.java
@@ -75,6 +75,15 @@
 		return this.id;
 	}
 
+	/**
+	 * Whether the connection was open when the stream was opened on it. If not, the peer
+	 * got no frame of the stream. Used on the event loop.
+	 * @return false if nothing was sent
+	 */
+	public boolean wasOpened() {
+		return this.id != 0;
+	}
+
 	/**
 	 * Whether a body part would be sent at once: credit is available, no frame is queued
 	 * and the socket's write buffer is below its high-water mark.
