Count streams that are being opened before a connection is closed

Callers saw 504 unknown for orders, "agent0 is gone; the request may have run", beside a change of the member list. When a member leaves the list or has another address, its connection is closed after its last stream. The number of streams was read on the dialer's loop, while requests that other threads were opening waited for the loop of the connection. The close came after them in the queue and ended what had just been sent: an act on a stale number.

The number is now read on the loop of the connection, in the same task as the close.

--- a/daemon/src/main/java/org/baobabknot/gossip/Dialer.java
+++ b/daemon/src/main/java/org/baobabknot/gossip/Dialer.java
@@ -131,12 +131,19 @@
 			if (open == null || !open.isOpen()) {
 				return;
 			}
-			if (immediately || open.openStreams() == 0) {
-				open.close(new ConnectionFailure("connection", this.member.instance(), "no longer wanted"));
-			}
-			else {
-				Dialer.this.loop.schedule(() -> stop(false), MAX_DELAY_MS, TimeUnit.MILLISECONDS);
+			ConnectionFailure failure = new ConnectionFailure("connection", this.member.instance(), "no longer wanted");
+			if (immediately) {
+				open.close(failure);
+				return;
 			}
+			// Streams that other threads are opening are counted on the loop of the
+			// connection only.
+			open.eventLoop().execute(() -> {
+				if (open.openStreams() == 0) {
+					open.close(failure);
+				}
+			});
+			Dialer.this.loop.schedule(() -> stop(false), MAX_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 
 	}
--- a/daemon/src/test/java/org/baobabknot/entry/StalledLoopTests.java
+++ b/daemon/src/test/java/org/baobabknot/entry/StalledLoopTests.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
+import org.baobabknot.membership.MemberUpdate;
 import org.baobabknot.protocol.Connection;
 import org.baobabknot.protocol.ConnectionFailure;
 import org.baobabknot.protocol.generated.Frame;
@@ -86,4 +88,28 @@
 
 	}
 
+	@Nested
+	class RemovedMember {
+
+		// Guards against a change of the member list that closes a connection on which a
+		// request was just sent.
+		@Test
+		void finishesTheOrdersThatItHas() throws Exception {
+			try (EntryFixture fixture = new EntryFixture(1)) {
+				fixture.agents.get(0).script = (stream, first) -> {
+					stream.eventLoop()
+						.schedule(() -> FakeAgent.sendResponse(stream, "order"), 300, TimeUnit.MILLISECONDS);
+					return FakeAgent.ignore(stream, first);
+				};
+				List<RawCaller> callers = connectCallers(fixture);
+				connection(fixture).eventLoop().execute(() -> stall(1_000));
+				postOrders(callers);
+				stall(300);
+				fixture.daemon.context().membership().apply(MemberUpdate.full(2, List.of()));
+				assertThat(responses(callers), is(Collections.nCopies(CALLERS, "200 order")));
+			}
+		}
+
+	}
+
 }
