Do not count a pause of the target as silence of the caller

Callers of requests with large bodies saw 408 "the body did not arrive in time" although they were sending. The entry stops reading a body while the agent grants no credit, as when its target pauses or the request is queued, but the read timeout went on: the absence of bytes that nobody read.

The timeout now runs only while a read is pending, and starts anew with each read. A slow caller is still ended, because the entry then waits in a read.

BackpressureTimeoutTests (body of 8 MiB, read timeout 400 ms, no credit for 1.2 s) on: 408; with this change whole. With a body of 700 kB it passed on, so that form was not kept; not traced, suspected: all of it was read before the credit was used up.

--- a/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
+++ b/daemon/src/main/java/org/baobabknot/entry/CallerConnection.java
@@ -78,12 +78,11 @@
 	public void handlerAdded(ChannelHandlerContext context) {
 		this.channelContext = context;
 		this.writer = new CallerWriter(context);
-		this.reads = new SocketReads(context);
+		this.reads = new SocketReads(context, this::recordProgress);
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
-		recordProgress();
 		scheduleTimeoutCheck();
 		requestRead();
 	}
@@ -429,7 +428,8 @@
 			channelContext().close();
 		}
 		else if (this.state == CallerState.EXCHANGE && !this.bodyComplete && !writeBlocked
-				&& silentNanos > this.server.readTimeoutNanos() && this.pipelined.isEmpty()) {
+				&& silentNanos > this.server.readTimeoutNanos() && this.pipelined.isEmpty()
+				&& Objects.requireNonNull(this.reads).isPending()) {
 			Exchange openExchange = this.exchange;
 			this.keepAlive = false;
 			if (openExchange != null) {
--- a/daemon/src/main/java/org/baobabknot/entry/SocketReads.java
+++ b/daemon/src/main/java/org/baobabknot/entry/SocketReads.java
@@ -9,12 +9,15 @@
 
 	private final ChannelHandlerContext context;
 
+	private final Runnable onStart;
+
 	private boolean pending;
 
 	private boolean requested;
 
-	SocketReads(ChannelHandlerContext context) {
+	SocketReads(ChannelHandlerContext context, Runnable onStart) {
 		this.context = context;
+		this.onStart = onStart;
 	}
 
 	/**
@@ -26,9 +29,18 @@
 			return;
 		}
 		this.pending = true;
+		this.onStart.run();
 		this.context.read();
 	}
 
+	/**
+	 * Whether a requested read has not ended.
+	 * @return false while nothing is read from the caller
+	 */
+	boolean isPending() {
+		return this.pending;
+	}
+
 	/**
 	 * Records the end of the pending read.
 	 * @return whether another one was requested meanwhile
