Refuse for one agent only when its rules are older than the entry's

Beside a change that lets a new workspace use a service, callers could get a refusal from an agent that had not learned of the change: the agent asks the entry for its rules, gets no answer within 500 ms (the entry stalls), and checks the request by its old ones. WORKSPACE_NOT_SERVED ends a request at all agents, so one outdated agent spoke for all: a difference taken for an order.

An agent whose revision is lower than that of the request now refuses as unavailable, and the entry asks another agent.

AgentOlderRulesTests on: WORKSPACE_NOT_SERVED; with this change REFUSED_UNAVAILABLE.

--- a/daemon/src/main/java/org/baobabknot/agent/RequestChecks.java
+++ b/daemon/src/main/java/org/baobabknot/agent/RequestChecks.java
@@ -42,6 +42,9 @@
 			return refuse(RefusalReason.REFUSED_DOMAIN_OUT, process.settings().failureDomain() + " is out of service");
 		}
 		if (!rules.servesWorkspace(service, start.getWorkspace())) {
+			if (start.getRulesRevision() > process.configuration().revision()) {
+				return refuse(RefusalReason.REFUSED_UNAVAILABLE, "the rules of this agent are older than the entry's");
+			}
 			return refuse(RefusalReason.WORKSPACE_NOT_SERVED, "no rule lets the workspace use " + service);
 		}
 		// An entry that treats the request as idempotent could send it to several agents.
