Keep the slot of a request until the engine says that it no longer runs

When a request failed or was canceled, its slot went to the next one as soon as the cancellation had ended, also if the engine had not answered within 1 s or had answered 503. A cold engine that pauses then still runs the first request and gets the next one, which is over its cold limit: it crashes and ends the responses of all its callers. The comment above the code demanded a confirmation; the code didn't look at it.

The cancellation is repeated every 200 ms until the engine answers 200 (canceled) or 404 (it runs no such request, as after a restart). While an engine is gone its admission is closed anyway; after its return the slots are free with the first answer.

AgentEngineTests.Cancellation.keepsTheSlotUntilASilentEngineConfirms (silent for 1.4 s) on: 0 running at the agent instead of 1; passes with this change. The crash itself was not played.

--- a/daemon/src/main/java/org/baobabknot/agent/RunningRequest.java
+++ b/daemon/src/main/java/org/baobabknot/agent/RunningRequest.java
@@ -31,6 +31,9 @@
 
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+	/** Interval at which a cancellation that the engine has not confirmed is repeated. */
+	private static final long CANCEL_INTERVAL_MS = 200;
+
 	private final AgentContext context;
 
 	private final Stream stream;
@@ -207,9 +210,14 @@
 			release();
 			return;
 		}
-		this.context.target()
-			.cancel(this.id.toString())
-			.whenComplete((confirmed, error) -> this.stream.eventLoop().execute(this::release));
+		this.context.target().cancel(this.id.toString()).whenComplete((confirmed, error) -> {
+			if (error == null && confirmed) {
+				this.stream.eventLoop().execute(this::release);
+			}
+			else {
+				this.stream.eventLoop().schedule(this::cancelAndRelease, CANCEL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+			}
+		});
 	}
 
 	private void release() {
--- a/daemon/src/test/java/org/baobabknot/agent/AgentEngineTests.java
+++ b/daemon/src/test/java/org/baobabknot/agent/AgentEngineTests.java
@@ -162,6 +162,21 @@
 			assertThat(AgentEngineTests.this.server.record().path("cancelled").asInt(), greaterThanOrEqualTo(1));
 		}
 
+		// Guards against exceeding the cold limit of an engine that pauses.
+		@Test
+		void keepsTheSlotUntilASilentEngineConfirms() throws Exception {
+			Daemon agent = startAgent();
+			EntryClient client = AgentEngineTests.this.fixture.entryClient(agent);
+			client.send(EntryClient.completion(), "{\"prompt\":\"menu\",\"max_tokens\":100000}");
+			AgentFixture.await("the request runs", () -> AgentEngineTests.this.engine.runs().size() == 1);
+			AgentEngineTests.this.server.activateFault(fault("freeze"));
+			client.close();
+			AgentFixture.sleep(1_400);
+			assertThat(agent.context().localState().load().getRunning(), is(1));
+			AgentEngineTests.this.server.clearFaults(java.util.Optional.empty());
+			AgentFixture.await("the engine is idle", () -> agent.context().localState().load().getRunning() == 0);
+		}
+
 	}
 
 	@Nested
