Ask other processes in the pause before the next call to a lost store

Keys were confirmed late after an outage and a restore. In the outage a gateway had asked all its sources and then the store, all had failed, and it waited 1.5 s before anything else. Its sources reached the store 0.4 s into that pause and confirmed within 5 ms; nothing told it. The last two gateways followed 1.2 s later, by the phase of their pauses. The pause is there to spare the store; it kept them from processes that cost the store nothing, and these were skipped for up to 9.6 s because they had lost what all had lost. Class: a pause meant for one peer that stops the calls to all.

Not mended: a follower that learns of a new era by such an answer sends one poll more, with what it knew before.

A new case of ValueRelayTests uses the new method, so that it could not run on the code before.

--- a/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
+++ b/daemon/src/main/java/org/baobabknot/relay/ValueRelay.java
@@ -62,6 +62,9 @@
 	/** Limit of the steps, so that the last process still confirms its keys in time. */
 	private static final int MAX_STORE_FALLBACK_STEPS = 15;
 
+	/** Sources that are asked in turn while none is usable. */
+	private static final int ASKED_SOURCES = 2;
+
 	private static final int STATUS_OK = 200;
 
 	private final EventLoop loop;
@@ -80,6 +83,8 @@
 
 	private boolean polled;
 
+	private int asked;
+
 	/**
 	 * Creates a relay.
 	 * @param loop event loop
@@ -136,19 +141,43 @@
 			return result;
 		}
 		long sourceWaitMs = Math.min(waitMs, (this.searching) ? this.timing.searchWaitMs() : this.timing.waitMs());
+		send(source, prefix, known, sourceWaitMs, ageMs)
+			.thenAccept((response) -> result.complete(handleResponse(source, response, known.era())));
+		return result;
+	}
+
+	// The sources that come first usually reach the store first.
+	@Override
+	public CompletableFuture<Optional<ItemSnapshot>> ask(String prefix, KnownRevisions known) {
+		List<EntryRecord> first = this.followOrder.get().sources().stream().limit(ASKED_SOURCES).toList();
+		if (first.isEmpty()) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+		Source source = source(first.get(Math.floorMod(this.asked++, first.size())));
+		return send(source, prefix, known, 0, Long.MAX_VALUE).thenApply((response) -> {
+			Optional<ItemSnapshot> snapshot = decode(source, response)
+				.filter((each) -> each.position().era() >= known.era() && isUsable(each));
+			if (snapshot.isPresent()) {
+				source.failures = 0;
+				recordUsable();
+			}
+			return snapshot;
+		});
+	}
+
+	private CompletableFuture<HttpResult> send(Source source, String prefix, KnownRevisions known, long waitMs,
+			long ageMs) {
 		byte[] body = ValuesPull.newBuilder()
 			.setPrefix(prefix)
 			.setEra(known.era())
 			.putAllKnown(known.revisions())
-			.setWaitMs((int) sourceWaitMs)
+			.setWaitMs((int) waitMs)
 			.setAgeMs(ageMs)
 			.build()
 			.toByteArray();
 		HttpCall call = new HttpCall("POST", ValueMessages.PATH, List.of(),
-				Duration.ofMillis(sourceWaitMs + this.timing.marginMs()), IDLE_TIMEOUT, body.length);
-		source.client.send(call, body)
-			.thenAccept((response) -> result.complete(handleResponse(source, response, known.era())));
-		return result;
+				Duration.ofMillis(waitMs + this.timing.marginMs()), IDLE_TIMEOUT, body.length);
+		return source.client.send(call, body);
 	}
 
 	// A source of an earlier era knows less than this process.
@@ -197,8 +226,7 @@
 	private @Nullable Source chooseSource(ValueSources currentOrder) {
 		long nowNanos = System.nanoTime();
 		for (EntryRecord entry : currentOrder.sources()) {
-			Source source = this.sources.computeIfAbsent(entry.host() + ":" + entry.port(),
-					(address) -> new Source(client(entry)));
+			Source source = source(entry);
 			if (source.isUsable(nowNanos)) {
 				return source;
 			}
@@ -206,6 +234,10 @@
 		return null;
 	}
 
+	private Source source(EntryRecord entry) {
+		return this.sources.computeIfAbsent(entry.host() + ":" + entry.port(), (address) -> new Source(client(entry)));
+	}
+
 	private HttpClient client(EntryRecord entry) {
 		return new HttpClient(this.loop, entry.host(), entry.port(), new HttpClientSettings(2, CONNECT_TIMEOUT,
 				Duration.ofSeconds(5), 8 << 10, ValueMessages.MAX_MESSAGE_BYTES, false), ConnectionHook.NONE);
--- a/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
+++ b/daemon/src/test/java/org/baobabknot/relay/ValueRelayTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -215,6 +216,34 @@
 			assertThat(revision, is(9L));
 		}
 
+		/**
+		 * All sources lose the store at the same moment, so that each of them is skipped
+		 * for a time when it reaches the store again.
+		 */
+		@Test
+		void aSourceThatWasWithoutTheStoreIsAskedAgain() throws Exception {
+			AtomicReference<ItemSnapshot> snapshot = new AtomicReference<>(disconnectedSnapshot());
+			int port = TestPorts.findFree();
+			new ValueServer(ValueRelayTests.this.loop, (prefix, knownRevisions) -> snapshot.get())
+				.bind("127.0.0.1", port)
+				.get(5, TimeUnit.SECONDS);
+			ValueRelay relay = relayOf(new EntryRecord("e" + port, "a", "127.0.0.1", port));
+			poll(relay);
+			assertThat(askedRevision(relay), is(0L));
+			snapshot.set(changedSnapshot(9, true));
+			assertThat(revision(relay), is(0L));
+			assertThat(askedRevision(relay), is(9L));
+			assertThat(revision(relay), is(9L));
+		}
+
+		private long askedRevision(ValueRelay relay) throws Exception {
+			return ValueRelayTests.this.loop.submit(() -> relay.ask("", KnownRevisions.NONE))
+				.get()
+				.get(5, TimeUnit.SECONDS)
+				.map((answered) -> answered.position().revision())
+				.orElse(0L);
+		}
+
 	}
 
 	@Nested
