Wait for room at a target instead of breaking a begun stream off

Cause: a target with more requests than slots is not chosen for a request that is late already, and the end of the request took "busy" for "none". Class: an act that can't be taken back, on a state of the moment.

Change: a begun stream without an open attempt waits until a target has room or its rest is over, at the latest until its deadline, and asks for admission again every 50 ms.

Evidence: FullTakeoverTests.LeftTargets failed before (broken off), passes. FullTakeoverTests.Streams passed before too: the first report of load came before the target was in use; it guards the wait all the same.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -107,6 +107,9 @@
 
 	private boolean done;
 
+	/** Whether a begun stream waits until a target has room for its rest. */
+	private boolean awaitsRoom;
+
 	private final OpenAttempts openAttempts = new OpenAttempts();
 
 	GatewayRequest(Gateway gateway, GatewayConnection connection, CallerRequestHead head, HttpHeaders headers,
@@ -216,6 +219,10 @@
 		else if (result instanceof PlacementResult.NoTarget && !this.limitedTargets.isEmpty()) {
 			refuseLimited(0);
 		}
+		else if (isRoomAwaited(result)) {
+			this.screening.release();
+			this.awaitsRoom = true;
+		}
 		else if (result instanceof PlacementResult.TargetsBusy busy) {
 			refuse("busy", "predicted wait " + Math.round(busy.waitMs()) + " ms", RetryAfter.LATER, busy.waitMs());
 		}
@@ -228,6 +235,12 @@
 		}
 	}
 
+	// That targets have no room now doesn't show that none can run the rest of a stream.
+	private boolean isRoomAwaited(PlacementResult result) {
+		return this.stream.started() && this.openAttempts.all().isEmpty()
+				&& (result instanceof PlacementResult.TargetsBusy || result instanceof PlacementResult.TargetsResting);
+	}
+
 	// Many requests wait for the same limits, so that their callers come back later, and
 	// not all at once.
 	private void refuseLimited(double waitMs) {
@@ -251,7 +264,7 @@
 			return further;
 		}
 		PlacementResult left = chooseTarget(targetsNotLeft(), now);
-		return (left instanceof PlacementResult.TargetChosen) ? left : further;
+		return (left instanceof PlacementResult.NoTarget) ? further : left;
 	}
 
 	private PlacementResult chooseTarget(Set<String> excluded, long now) {
@@ -667,6 +680,11 @@
 			end("the deadline has passed");
 			return;
 		}
+		if (this.awaitsRoom) {
+			this.awaitsRoom = false;
+			this.screening.admit(new GuardOutcome());
+			return;
+		}
 		this.openAttempts.onceSilent().forEach((each) -> cancelIfOutdated(each, now));
 		TargetAttempt attempt = this.openAttempts.current();
 		Route route = route();
