Keep the connections of a target whose service a configuration drops

Callers got 502 for an order that their target had run and answered, beside a change of the configuration. Cause: a target of a service that the configuration does not name was limited to one connection. A response that ends with its connection then got no spare one, over which the target shows that the response is whole. Class: an act that can't be taken back, on the absence of a sign.

Change: without a service in the configuration, the last limit stays.

Evidence: DroppedServiceTests failed on (502); passes, with RetiredClientTests, UnframedResponseTests, StaleTargetEntryTests and TargetStatementTests.

--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -104,7 +104,7 @@
 			this.byStart.remove(existing.limitedTarget().key());
 		}
 		HttpClient client = new HttpClient(
-				this.group, target.host(), target.port(), new HttpClientSettings(maxConnections(target),
+				this.group, target.host(), target.port(), new HttpClientSettings(maxConnections(target).orElse(1),
 						CONNECT_TIMEOUT, MAX_IDLE, MAX_HEAD_BYTES, MAX_BODY_BYTES, true, ResponseMatching.BY_IDENTITY),
 				ConnectionHook.NONE);
 		StatedAvailability availability = this.retained.getOrDefault(startOf(target.id(), target.startedMs()),
@@ -123,7 +123,8 @@
 
 	/**
 	 * Closes the connections of unlisted targets without requests of this gateway, and
-	 * adjusts the connection limit of the others to the current number of entries.
+	 * adjusts the connection limit of the others to the current number of entries. The
+	 * limit of a service that is not configured any more stays.
 	 */
 	void sweep() {
 		Iterator<Map.Entry<String, PooledTarget>> entries = this.pooledTargets.entrySet().iterator();
@@ -131,7 +132,7 @@
 			Map.Entry<String, PooledTarget> entry = entries.next();
 			Optional<TargetRecord> listedTarget = this.view.target(entry.getKey());
 			if (listedTarget.isPresent()) {
-				entry.getValue().client().limitConnections(maxConnections(listedTarget.get()));
+				maxConnections(listedTarget.get()).ifPresent(entry.getValue().client()::limitConnections);
 			}
 			else if (entry.getValue().load().inFlight() == 0) {
 				entry.getValue().client().close();
@@ -216,12 +217,11 @@
 				service.map(ServiceDefinition::reportsStart).orElse(false), target);
 	}
 
-	private int maxConnections(TargetRecord target) {
-		int serviceMaxConnections = this.view.configuration()
+	private Optional<Integer> maxConnections(TargetRecord target) {
+		return this.view.configuration()
 			.flatMap((configuration) -> configuration.service(target.service()))
-			.map(ServiceDefinition::maxConnections)
-			.orElse(1);
-		return Math.max(1, (int) (serviceMaxConnections * MAX_CONNECTIONS_RATIO / this.view.limitDivisor()));
+			.map((service) -> Math.max(1,
+					(int) (service.maxConnections() * MAX_CONNECTIONS_RATIO / this.view.limitDivisor())));
 	}
 
 }
