Take a retry from the budget when it starts, not when it is considered

Other callers could lose their retries (502, or a broken stream): a silent target that a suspected or quarantined request may not leave was tried again in each check, every 50 ms, and each try took one retry from the budget of the service and wrote a line, with nothing sent. Class: a loop without a pause that grows.

Change: a retry is taken when the request is admitted and is about to start; after a try to leave a silent target the next one waits 400 ms, doubled by each.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 
 import io.netty.buffer.ByteBuf;
@@ -59,6 +60,9 @@
 	/** Smallest status by which a target states that it has failed. */
 	private static final int SERVER_ERROR = 500;
 
+	/** Time from a try to leave a silent target to the next one, doubled by each. */
+	private static final long FIRST_TRY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	/** Time in which a suspected request is served or crashes its target. */
 	private static final double SUSPICION_MS = 250;
 
@@ -107,6 +111,10 @@
 
 	private boolean done;
 
+	private long nextTryNanos = this.arrivedNanos;
+
+	private long tryPauseNanos = FIRST_TRY_PAUSE_NANOS;
+
 	/** Whether a begun stream waits until a target has room for its rest. */
 	private boolean awaitsRoom;
 
@@ -147,7 +155,7 @@
 			return;
 		}
 		this.gateway.requestAdmitted(this, admitted.service().name());
-		this.screening.admit(new GuardOutcome());
+		this.screening.admit(new GuardOutcome(() -> true));
 	}
 
 	/**
@@ -461,8 +469,8 @@
 		if (this.screening.isQuarantined()) {
 			rejectQuarantined();
 		}
-		else if (route.repeatable() && mayTryAnotherTarget() && mayRetry()) {
-			this.screening.admit(new GuardOutcome());
+		else if (route.repeatable() && mayTryAnotherTarget() && hasTimeToRetry()) {
+			this.screening.admit(new GuardOutcome(this::tryRetry));
 		}
 		else {
 			giveUp(reason);
@@ -475,7 +483,11 @@
 	}
 
 	private boolean mayRetry() {
-		return hasTimeToRetry() && this.gateway.tryRetry(service().name());
+		return hasTimeToRetry() && tryRetry();
+	}
+
+	private boolean tryRetry() {
+		return this.gateway.tryRetry(service().name());
 	}
 
 	private boolean hasTimeToRetry() {
@@ -682,7 +694,7 @@
 		}
 		if (this.awaitsRoom) {
 			this.awaitsRoom = false;
-			this.screening.admit(new GuardOutcome());
+			this.screening.admit(new GuardOutcome(() -> true));
 			return;
 		}
 		this.openAttempts.onceSilent().forEach((each) -> cancelIfOutdated(each, now));
@@ -698,7 +710,8 @@
 			attempt.load().avoid(now);
 		}
 		// Silence doesn't show that the target has failed: it may go on at any moment.
-		if ((targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
+		if (now - this.nextTryNanos >= 0 && (targetSilent || silence.isResponseStalled(now))
+				&& canContinueElsewhere(now)) {
 			tryElsewhere(attempt, now);
 		}
 	}
@@ -717,6 +730,8 @@
 	// The silent target keeps its attempt, since the other one may fail.
 	private void tryElsewhere(TargetAttempt attempt, long now) {
 		String reason = "nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms";
+		this.nextTryNanos = now + this.tryPauseNanos;
+		this.tryPauseNanos *= 2;
 		this.log.attemptSilent(attempt, this.stream.eventCount());
 		this.attemptsThatMayHaveRun.add(attempt);
 		this.openAttempts.setCurrentAside();
@@ -859,13 +874,24 @@
 	 */
 	private final class GuardOutcome implements RequestGuard.Outcome {
 
+		/** Withdraws the attempt from the retry budget, when it is about to start. */
+		private final BooleanSupplier withdrawal;
+
+		GuardOutcome(BooleanSupplier withdrawal) {
+			this.withdrawal = withdrawal;
+		}
+
 		@Override
 		public void admitted(Optional<Trial> admittedTrial) {
-			if (needsAttempt()) {
+			if (!needsAttempt()) {
+				GatewayRequest.this.screening.release();
+			}
+			else if (this.withdrawal.getAsBoolean()) {
 				startAttempt();
 			}
 			else {
 				GatewayRequest.this.screening.release();
+				giveUp("the retry budget is used up");
 			}
 		}
 
