Let a suspected request leave a target that is silent for longer than a pause

Callers of a sound request that shares a part with a crash got 504 after 5 s where they had got 200 after 0.9 s: since a suspected request never left a silent target, also one that had died without a sign.

Change: it leaves after 1.6 s of silence, longer than a sound target pauses and before callers leave; the attempt is cancelled then, since it may be at one target only.

Evidence: SuspectedRequestPauseTests.DeadTargets failed before (nothing within 2 s), passes, with the pause of 1.5 s, TaintedPromptTests, DeadlyRequestTests and drawn orders.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -705,13 +705,16 @@
 			return;
 		}
 		SilencePolicy silence = new SilencePolicy(attempt, route, this.stream.started());
+		// A suspected request is at one target at a time, and so leaves a silent one
+		// later.
+		boolean mayLeave = now - this.nextTryNanos >= 0
+				&& (!this.screening.onTrial() || silence.isLongerThanPause(now));
 		boolean targetSilent = silence.isTargetSilent(now);
 		if (targetSilent) {
 			attempt.load().avoid(now);
 		}
 		// Silence doesn't show that the target has failed: it may go on at any moment.
-		if (now - this.nextTryNanos >= 0 && (targetSilent || silence.isResponseStalled(now))
-				&& canContinueElsewhere(now)) {
+		if (mayLeave && (targetSilent || silence.isResponseStalled(now)) && canContinueElsewhere(now)) {
 			tryElsewhere(attempt, now);
 		}
 	}
@@ -734,13 +737,17 @@
 		this.tryPauseNanos *= 2;
 		this.log.attemptSilent(attempt, this.stream.eventCount());
 		this.attemptsThatMayHaveRun.add(attempt);
+		if (this.screening.onTrial()) {
+			attempt.cancel("silent");
+			attemptFailed(attempt, HttpFailure.afterSending("wait for answer", attempt.target().address(), reason));
+			return;
+		}
 		this.openAttempts.setCurrentAside();
 		retryOrGiveUp(reason);
 	}
 
 	private boolean canContinueElsewhere(long now) {
-		// A suspected request is at one target at a time.
-		return !this.screening.onTrial() && this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
+		return this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
 				&& this.gateway.traffic().allowsRetry(service().name(), now)
 				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
 	}
--- a/daemon/src/main/java/org/baobabknot/gateway/SilencePolicy.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/SilencePolicy.java
@@ -28,6 +28,9 @@
 	 */
 	private static final long STALLED_STREAM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
+	/** Silence that is longer than the pause of a sound target. */
+	private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
 	private final TargetAttempt attempt;
 
 	private final boolean streaming;
@@ -72,4 +75,13 @@
 				: this.attempt.load().estimatedRequests(nowNanos) <= this.attempt.target().slots();
 	}
 
+	/**
+	 * Returns whether the response has stayed away for longer than a sound target pauses.
+	 * @param nowNanos monotonic time
+	 * @return whether the target is unlikely to go on
+	 */
+	boolean isLongerThanPause(long nowNanos) {
+		return this.attempt.responseSilentNanos(nowNanos) > LONGEST_PAUSE_NANOS;
+	}
+
 }
--- a/daemon/src/test/java/org/baobabknot/gateway/SuspectedRequestPauseTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/SuspectedRequestPauseTests.java
@@ -16,6 +16,7 @@
  */
 class SuspectedRequestPauseTests extends SuspectedStreams {
 
+
 	@Nested
 	class Suspects {
 
@@ -36,4 +37,19 @@
 
 	}
 
+	@Nested
+	class DeadTargets {
+
+		@Test
+		void areLeftInTime() throws Exception {
+			EmulatedEngine dead = addTarget("t1", "a");
+			addTarget("t2", "b");
+			dead.hangingRequestIds.add("r1");
+			SuspectedRequestPauseTests.this.fixture.start();
+			reportCrashes(1);
+			assertWhole(callWithPart().get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+		}
+
+	}
+
 }
