--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -268,7 +268,7 @@
 	private PlacementResult chooseTarget(long now) {
 		PlacementResult further = (mayTryFurtherTarget()) ? chooseTarget(this.triedTargets, now)
 				: new PlacementResult.NoTarget();
-		if (further instanceof PlacementResult.TargetChosen || this.leftTargets.isEmpty()) {
+		if (further instanceof PlacementResult.TargetChosen || !mayReturn()) {
 			return further;
 		}
 		PlacementResult left = chooseTarget(targetsNotLeft(), now);
@@ -477,9 +477,14 @@
 		}
 	}
 
-	// A target that was left is no further one: it has not failed, and may run the rest.
 	private boolean mayTryAnotherTarget() {
-		return mayTryFurtherTarget() || !this.leftTargets.isEmpty();
+		return mayTryFurtherTarget() || mayReturn();
+	}
+
+	// A target that was left is no further one: it has not failed, and may run the rest.
+	// Between slow targets, each return would cost the prompt once more for an event.
+	private boolean mayReturn() {
+		return !this.leftTargets.isEmpty() && this.returns < route().maxAttempts();
 	}
 
 	private boolean mayRetry() {
--- a/daemon/src/test/java/org/baobabknot/gateway/BrokenTakeoverTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/BrokenTakeoverTests.java
@@ -9,6 +9,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 /**
  * Tests that a stream returns to its paused target when the one that has taken it over
@@ -76,4 +77,28 @@
 
 	}
 
+	/** Targets whose pauses between all events are longer than tolerated. */
+	@Nested
+	class SlowTargets {
+
+		private static final int MAX_RUNS = 4;
+
+		private EmulatedEngine addSlowTarget(String id, String domain) {
+			EmulatedEngine engine = addTarget(id, domain);
+			engine.eventIntervalMs = 1_200;
+			engine.eventsPerStream = 20;
+			return engine;
+		}
+
+		@Test
+		void doNotGetAStreamBackWithEachEvent() throws Exception {
+			EmulatedEngine first = addSlowTarget("t1", "a");
+			EmulatedEngine second = addSlowTarget("t2", "b");
+			BrokenTakeoverTests.this.fixture.start();
+			BrokenTakeoverTests.this.fixture.callStream("r1");
+			assertThat(first.receivedRequests().size() + second.receivedRequests().size(), lessThanOrEqualTo(MAX_RUNS));
+		}
+
+	}
+
 }
--- a/daemon/src/test/java/org/baobabknot/gateway/SuspectedRequestPauseTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/SuspectedRequestPauseTests.java
@@ -16,7 +16,6 @@
  */
 class SuspectedRequestPauseTests extends SuspectedStreams {
 
-
 	@Nested
 	class Suspects {
 
