Keep the limits of a request's attempts in core

Change: AttemptLimits in core holds them without network and clock: targets that the operators allow, returns, refusals, used-up limits, and the pause between tries to leave a silent target. Behaviour is as before.

--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.baobabknot.attempt.AttemptLimits;
 import org.baobabknot.fleet.RequestKind;
 import org.baobabknot.fleet.Route;
 import org.baobabknot.fleet.ServiceDefinition;
@@ -45,24 +46,9 @@
 	/** Remaining time below which no attempt is started. */
 	private static final long MIN_ATTEMPT_MS = 20;
 
-	/**
-	 * Attempts that cost no target any work, such as addresses that belong to another
-	 * target.
-	 */
-	private static final int MAX_ATTEMPTS_NOT_RUN = 4;
-
-	/** Targets whose crash one request finds out before it is refused. */
-	private static final int MAX_REFUSED_CONNECTIONS = 16;
-
-	/** Targets whose limits one request finds used up before it goes to one without. */
-	private static final int MAX_LIMITS_REACHED = 4;
-
 	/** Smallest status by which a target states that it has failed. */
 	private static final int SERVER_ERROR = 500;
 
-	/** Time from a try to leave a silent target to the next one, doubled by each. */
-	private static final long FIRST_TRY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
 	/** Time in which a suspected request is served or crashes its target. */
 	private static final double SUSPICION_MS = 250;
 
@@ -80,13 +66,7 @@
 
 	private final long arrivedNanos = System.nanoTime();
 
-	private final Set<String> triedTargets = new HashSet<>();
-
-	/** Sound targets that were left because another one went on first. */
-	private final Set<String> leftTargets = new HashSet<>();
-
-	/** Targets whose limits are used up for this request. */
-	private final Set<String> limitedTargets = new HashSet<>();
+	private final AttemptLimits limits = new AttemptLimits(this.arrivedNanos);
 
 	private final RequestScreening screening;
 
@@ -96,25 +76,11 @@
 
 	private long deadlineNanos;
 
-	/** Targets that may have run the request. */
-	private int attempts;
-
-	private int attemptsNotRun;
-
-	/** Attempts at targets that were tried before. */
-	private int returns;
-
-	private int refusedConnections;
-
 	/** Attempts that may have run at their targets. */
 	private final Set<TargetAttempt> attemptsThatMayHaveRun = new HashSet<>();
 
 	private boolean done;
 
-	private long nextTryNanos = this.arrivedNanos;
-
-	private long tryPauseNanos = FIRST_TRY_PAUSE_NANOS;
-
 	/** Whether a begun stream waits until a target has room for its rest. */
 	private boolean awaitsRoom;
 
@@ -224,7 +190,7 @@
 		else if (result instanceof PlacementResult.LimitsReached reached) {
 			refuseLimited(reached.waitMs());
 		}
-		else if (result instanceof PlacementResult.NoTarget && !this.limitedTargets.isEmpty()) {
+		else if (result instanceof PlacementResult.NoTarget && !this.limits.limited().isEmpty()) {
 			refuseLimited(0);
 		}
 		else if (isRoomAwaited(result)) {
@@ -266,9 +232,9 @@
 	}
 
 	private PlacementResult chooseTarget(long now) {
-		PlacementResult further = (mayTryFurtherTarget()) ? chooseTarget(this.triedTargets, now)
-				: new PlacementResult.NoTarget();
-		if (further instanceof PlacementResult.TargetChosen || !mayReturn()) {
+		PlacementResult further = (this.limits.allowsFurtherTarget(route().maxAttempts()))
+				? chooseTarget(this.limits.tried(), now) : new PlacementResult.NoTarget();
+		if (further instanceof PlacementResult.TargetChosen || !this.limits.allowsReturn(route().maxAttempts())) {
 			return further;
 		}
 		PlacementResult left = chooseTarget(targetsNotLeft(), now);
@@ -282,25 +248,21 @@
 					estimate(admitted.route(), admitted.service(), now, (this.deadlineNanos - now) / NANOS_PER_MS));
 	}
 
-	private boolean mayTryFurtherTarget() {
-		return this.attempts < route().maxAttempts();
-	}
-
 	private Set<String> targetsNotLeft() {
 		return this.gateway.view()
 			.targets(service().name())
 			.stream()
 			.map(TargetRecord::id)
-			.filter((id) -> !this.leftTargets.contains(id))
+			.filter((id) -> !this.limits.left().contains(id))
 			.collect(Collectors.toSet());
 	}
 
 	private TargetSelection.Query query(Set<String> tried) {
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		Set<String> excluded = new HashSet<>(tried);
-		excluded.addAll(this.limitedTargets);
+		excluded.addAll(this.limits.limited());
 		return new TargetSelection.Query(admitted.service(), this.head.model(), admitted.regions(), excluded,
-				this.limitedTargets.size() < MAX_LIMITS_REACHED, trialPlacement(), this.screening.suspectedContents());
+				this.limits.allowsLimitedTargets(), trialPlacement(), this.screening.suspectedContents());
 	}
 
 	private TrialPlacement trialPlacement() {
@@ -323,7 +285,7 @@
 		double objectiveLeftMs = SilencePolicy.objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
 		// A request that may have run, or was tried before, is not refused because the
 		// targets have no free slots, so competing requests are not counted.
-		boolean refusable = this.attempts == 0 && this.attemptsNotRun == 0 && !mayHaveRun();
+		boolean refusable = this.limits.isUntried() && !mayHaveRun();
 		return this.gateway.traffic().estimate(this.head, service, objectiveLeftMs, remainingMs, refusable, now);
 	}
 
@@ -335,14 +297,10 @@
 				this.gateway.pooledTarget(target), this.head.requestId(), expectsStream, chosen.predictedMs(), now);
 		this.openAttempts.start(attempt);
 		this.stream.open(attempt);
-		this.leftTargets.remove(target.id());
-		if (this.triedTargets.add(target.id())) {
-			this.attempts++;
-		}
-		else {
-			this.returns++;
+		if (this.limits.isReturn(target.id())) {
 			attempt.markReturn();
 		}
+		this.limits.recordSent(target.id());
 		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
 		this.gateway.send(attempt, this.head, this.headers, this.body, admitted.workspace(), admitted.urgency(),
 				remainingMs, this.stream.resumeAfter());
@@ -376,15 +334,12 @@
 						now);
 		}
 		this.log.attemptFailed(attempt, reason, this.stream.eventCount());
-		this.attempts -= (attempt.isReturn()) ? 0 : 1;
-		this.attemptsNotRun++;
-		this.refusedConnections += (cause.costsTarget()) ? 0 : 1;
+		this.limits.recordNotRun(attempt.isReturn(), cause.costsTarget());
 		if (!wasCurrent) {
 			return;
 		}
-		boolean mayContinue = (cause.costsTarget())
-				? this.attemptsNotRun - this.refusedConnections <= MAX_ATTEMPTS_NOT_RUN && mayRetry()
-				: this.refusedConnections <= MAX_REFUSED_CONNECTIONS && hasTimeToRetry();
+		boolean mayContinue = this.limits.allowsAfterNotRun(cause.costsTarget())
+				&& ((cause.costsTarget()) ? mayRetry() : hasTimeToRetry());
 		if (mayContinue) {
 			startAttempt();
 		}
@@ -442,7 +397,7 @@
 				other.load().recordFailure(System.nanoTime());
 			}
 			this.log.attemptFailed(other, "another target goes on", this.stream.eventCount());
-			this.leftTargets.add(other.target().id());
+			this.limits.recordLeft(other.target().id());
 			other.cancel("another target goes on");
 			this.stream.drop(other);
 		});
@@ -478,13 +433,7 @@
 	}
 
 	private boolean mayTryAnotherTarget() {
-		return mayTryFurtherTarget() || mayReturn();
-	}
-
-	// A target that was left is no further one: it has not failed, and may run the rest.
-	// Between slow targets, each return would cost the prompt once more for an event.
-	private boolean mayReturn() {
-		return !this.leftTargets.isEmpty() && this.returns < route().maxAttempts();
+		return this.limits.allowsAnotherTarget(route().maxAttempts());
 	}
 
 	private boolean mayRetry() {
@@ -611,7 +560,7 @@
 
 	private boolean continuesAfterFailure() {
 		Route route = route();
-		if (route.repeatable() && mayTryFurtherTarget()
+		if (route.repeatable() && this.limits.allowsFurtherTarget(route().maxAttempts())
 				&& chooseTarget(System.nanoTime()) instanceof PlacementResult.TargetChosen && mayRetry()) {
 			startAttempt();
 			return true;
@@ -712,7 +661,7 @@
 		SilencePolicy silence = new SilencePolicy(attempt, route, this.stream.started());
 		// A suspected request is at one target at a time, and so leaves a silent one
 		// later.
-		boolean mayLeave = now - this.nextTryNanos >= 0
+		boolean mayLeave = this.limits.allowsTryToLeave(now)
 				&& (!this.screening.onTrial() || silence.isLongerThanPause(now));
 		boolean targetSilent = silence.isTargetSilent(now);
 		if (targetSilent) {
@@ -738,8 +687,7 @@
 	// The silent target keeps its attempt, since the other one may fail.
 	private void tryElsewhere(TargetAttempt attempt, long now) {
 		String reason = "nothing for " + attempt.responseSilentNanos(now) / NANOS_PER_MS + " ms";
-		this.nextTryNanos = now + this.tryPauseNanos;
-		this.tryPauseNanos *= 2;
+		this.limits.recordTryToLeave(now);
 		this.log.attemptSilent(attempt, this.stream.eventCount());
 		this.attemptsThatMayHaveRun.add(attempt);
 		if (this.screening.onTrial()) {
@@ -752,7 +700,7 @@
 	}
 
 	private boolean canContinueElsewhere(long now) {
-		return this.attemptsNotRun <= MAX_ATTEMPTS_NOT_RUN && hasTimeToRetry()
+		return this.limits.allowsLeaving() && hasTimeToRetry()
 				&& this.gateway.traffic().allowsRetry(service().name(), now)
 				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
 	}
@@ -837,8 +785,8 @@
 		this.gateway.requestCompleted(this, outcome, durationMs);
 		this.gateway.metrics().attemptsCancelled(outcome, cancelled.size());
 		this.log.requestEnded(new RequestLog.Summary(outcome, detail, (admitted != null) ? admitted.route().name() : "",
-				this.attempts + this.attemptsNotRun + this.returns, this.stream.eventCount(), durationMs,
-				(admitted != null) ? admitted.urgency() : -1, cancelled), this.head, lastAttempt);
+				this.limits.sends(), this.stream.eventCount(), durationMs, (admitted != null) ? admitted.urgency() : -1,
+				cancelled), this.head, lastAttempt);
 	}
 
 	/**
@@ -874,7 +822,7 @@
 		@Override
 		public void denied() {
 			if (needsAttempt()) {
-				GatewayRequest.this.limitedTargets.add(this.chosen.candidate().target().id());
+				GatewayRequest.this.limits.recordLimited(this.chosen.candidate().target().id());
 				startAttempt();
 			}
 		}
