--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -23,10 +22,8 @@
 import org.baobabknot.httpclient.ResponseHead;
 import org.baobabknot.httpclient.ResponseOwner;
 import org.baobabknot.placement.PlacementResult;
-import org.baobabknot.placement.RequestEstimate;
 import org.baobabknot.placement.RetryAfter;
 import org.baobabknot.placement.ShutdownWindow;
-import org.baobabknot.placement.TrialPlacement;
 import org.baobabknot.placement.UnfinishedRequest;
 import org.baobabknot.provider.CallerRequestHead;
 import org.baobabknot.provider.PlatformHeaders;
@@ -74,6 +71,8 @@
 
 	private RequestAdmission.@Nullable Admitted admission;
 
+	private @Nullable AttemptPlacement placement;
+
 	private long deadlineNanos;
 
 	/** Attempts that may have run at their targets. */
@@ -113,6 +112,8 @@
 		long timeoutMs = admitted.route().timeoutMs();
 		long remainingMs = (this.head.timeoutMs() >= 0) ? Math.min(this.head.timeoutMs(), timeoutMs) : timeoutMs;
 		this.deadlineNanos = this.arrivedNanos + remainingMs * NANOS_PER_MS;
+		this.placement = new AttemptPlacement(this.gateway, this.head, admitted, this.screening, this.limits,
+				this.arrivedNanos, this.deadlineNanos);
 		ShutdownWindow.Arrival arrival = this.gateway.shutdownWindow()
 			.map((window) -> window.arrival(this.connection.openedNanos(), this.deadlineNanos))
 			.orElse(ShutdownWindow.Arrival.ADMITTED);
@@ -167,6 +168,10 @@
 		return Objects.requireNonNull(this.admission).route();
 	}
 
+	private AttemptPlacement placement() {
+		return Objects.requireNonNull(this.placement);
+	}
+
 	private ServiceDefinition service() {
 		return Objects.requireNonNull(this.admission).service();
 	}
@@ -178,7 +183,7 @@
 			giveUp("no time is left");
 			return;
 		}
-		PlacementResult result = chooseTarget(now);
+		PlacementResult result = placement().choose(mayHaveRun(), now);
 		if (result instanceof PlacementResult.TargetChosen chosen) {
 			if (chosen.candidate().limited()) {
 				acquirePermit(chosen, now);
@@ -224,54 +229,10 @@
 
 	private void acquirePermit(PlacementResult.TargetChosen chosen, long now) {
 		LimitedTarget target = this.gateway.pooledTarget(chosen.candidate().target()).limitedTarget();
-		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		double maxWaitMs = estimate(admitted.route(), admitted.service(), now,
-				(this.deadlineNanos - now) / NANOS_PER_MS)
-			.maxPermitWaitMs(admitted.urgency());
+		double maxWaitMs = placement().maxPermitWaitMs(mayHaveRun(), now);
 		this.gateway.sharedLimits().acquire(target, Math.round(maxWaitMs), new PermitOutcome(chosen, target));
 	}
 
-	private PlacementResult chooseTarget(long now) {
-		PlacementResult further = (this.limits.allowsFurtherTarget(route().maxAttempts()))
-				? chooseTarget(this.limits.tried(), now) : new PlacementResult.NoTarget();
-		if (further instanceof PlacementResult.TargetChosen || !this.limits.allowsReturn(route().maxAttempts())) {
-			return further;
-		}
-		PlacementResult left = chooseTarget(targetsNotLeft(), now);
-		return (left instanceof PlacementResult.NoTarget) ? further : left;
-	}
-
-	private PlacementResult chooseTarget(Set<String> excluded, long now) {
-		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		return this.gateway.selection()
-			.choose(query(excluded),
-					estimate(admitted.route(), admitted.service(), now, (this.deadlineNanos - now) / NANOS_PER_MS));
-	}
-
-	private Set<String> targetsNotLeft() {
-		return this.gateway.view()
-			.targets(service().name())
-			.stream()
-			.map(TargetRecord::id)
-			.filter((id) -> !this.limits.left().contains(id))
-			.collect(Collectors.toSet());
-	}
-
-	private TargetSelection.Query query(Set<String> tried) {
-		RequestAdmission.Admitted admitted = Objects.requireNonNull(this.admission);
-		Set<String> excluded = new HashSet<>(tried);
-		excluded.addAll(this.limits.limited());
-		return new TargetSelection.Query(admitted.service(), this.head.model(), admitted.regions(), excluded,
-				this.limits.allowsLimitedTargets(), trialPlacement(), this.screening.suspectedContents());
-	}
-
-	private TrialPlacement trialPlacement() {
-		if (this.screening.onTrial()) {
-			return (mayHaveRun()) ? TrialPlacement.SPREAD : TrialPlacement.LEAST_WORK;
-		}
-		return (mayHaveRun()) ? TrialPlacement.APART : TrialPlacement.NONE;
-	}
-
 	private void refuse(String reason, String detail, RetryAfter policy, double waitMs) {
 		if (mayHaveRun() || this.stream.started()) {
 			giveUp("all targets are " + reason);
@@ -281,14 +242,6 @@
 		}
 	}
 
-	private RequestEstimate estimate(Route route, ServiceDefinition service, long now, long remainingMs) {
-		double objectiveLeftMs = SilencePolicy.objectiveMs(route) - (now - this.arrivedNanos) / (double) NANOS_PER_MS;
-		// A request that may have run, or was tried before, is not refused because the
-		// targets have no free slots, so competing requests are not counted.
-		boolean refusable = this.limits.isUntried() && !mayHaveRun();
-		return this.gateway.traffic().estimate(this.head, service, objectiveLeftMs, remainingMs, refusable, now);
-	}
-
 	private void send(PlacementResult.TargetChosen chosen, long remainingMs, long now) {
 		Route route = route();
 		boolean expectsStream = route.kind() == RequestKind.STREAM;
@@ -561,7 +514,8 @@
 	private boolean continuesAfterFailure() {
 		Route route = route();
 		if (route.repeatable() && this.limits.allowsFurtherTarget(route().maxAttempts())
-				&& chooseTarget(System.nanoTime()) instanceof PlacementResult.TargetChosen && mayRetry()) {
+				&& placement().choose(mayHaveRun(), System.nanoTime()) instanceof PlacementResult.TargetChosen
+				&& mayRetry()) {
 			startAttempt();
 			return true;
 		}
@@ -702,7 +656,8 @@
 	private boolean canContinueElsewhere(long now) {
 		return this.limits.allowsLeaving() && hasTimeToRetry()
 				&& this.gateway.traffic().allowsRetry(service().name(), now)
-				&& chooseTarget(now) instanceof PlacementResult.TargetChosen chosen && !chosen.candidate().limited();
+				&& placement().choose(mayHaveRun(), now) instanceof PlacementResult.TargetChosen chosen
+				&& !chosen.candidate().limited();
 	}
 
 	/**
@@ -807,8 +762,7 @@
 		public void granted() {
 			long now = System.nanoTime();
 			long remainingMs = (GatewayRequest.this.deadlineNanos - now) / NANOS_PER_MS;
-			boolean allowed = GatewayRequest.this.gateway.selection()
-				.allows(query(Set.of()), this.chosen.candidate().target(), now);
+			boolean allowed = placement().allows(this.chosen.candidate().target(), mayHaveRun(), now);
 			if (!needsAttempt() || !allowed || remainingMs < MIN_ATTEMPT_MS) {
 				this.target.permits().add(1, now);
 				if (needsAttempt()) {
