--- a/daemon/src/test/java/org/baobabknot/agent/AgentEngineTests.java
+++ b/daemon/src/test/java/org/baobabknot/agent/AgentEngineTests.java
@@ -1,5 +1,6 @@
 package org.baobabknot.agent;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -127,7 +128,7 @@
 			AgentFixture.await("admission closes", () -> !agent.role().isReady());
 			EntryClient client = AgentEngineTests.this.fixture.entryClient(agent);
 			assertThat(client.send(EntryClient.completion(), PROMPT).get().kind(), is("REFUSED_UNAVAILABLE"));
-			AgentEngineTests.this.server.clearFaults(java.util.Optional.empty());
+			AgentEngineTests.this.server.clearFaults(Optional.empty());
 			AgentFixture.await("admission opens", () -> agent.role().isReady());
 		}
 
@@ -173,7 +174,7 @@
 			client.close();
 			AgentFixture.sleep(1_400);
 			assertThat(agent.context().localState().load().getRunning(), is(1));
-			AgentEngineTests.this.server.clearFaults(java.util.Optional.empty());
+			AgentEngineTests.this.server.clearFaults(Optional.empty());
 			AgentFixture.await("the engine is idle", () -> agent.context().localState().load().getRunning() == 0);
 		}
 
