Count overlapping runs at one engine in the soak's check of stops

Cause: the stream had returned to engine-1, and the end of its first run there, recorded 0.2 ms after the second had arrived, counted as the end of the second.

Change: runs that are open are counted, also several at one engine. Otherwise the check and its bounds are as they were.

Evidence: SoakChecksTests.Stops.aSecondRunAtATargetIsNotEndedByTheEndOfTheFirst failed before; passes, with the other tests of the soak's checks (47 cases).

--- a/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
+++ b/benchmarks/src/main/java/org/baobabknot/soak/TargetRecords.java
@@ -122,16 +122,17 @@
 	 * @return whether a run that began before had not ended
 	 */
 	boolean atWork(String requestId, long nanos) {
-		return states(requestId, nanos).containsValue(EventKind.STARTED);
+		return openRuns(requestId, nanos).values().stream().anyMatch((runs) -> runs > 0);
 	}
 
-	// The last event of the run at each target: runs may overlap.
-	private Map<String, EventKind> states(String requestId, long beforeNanos) {
-		Map<String, EventKind> states = new HashMap<>();
+	// Runs may overlap, also at one target, to which a request may return.
+	private Map<String, Integer> openRuns(String requestId, long beforeNanos) {
+		Map<String, Integer> runs = new HashMap<>();
 		of(requestId).stream()
 			.filter((entry) -> entry.bounds() && entry.event().nanos() < beforeNanos)
-			.forEach((entry) -> states.put(entry.target(), entry.event().kind()));
-		return states;
+			.forEach((entry) -> runs.merge(entry.target(), (entry.event().kind() == EventKind.STARTED) ? 1 : -1,
+					Integer::sum));
+		return runs;
 	}
 
 	/**
--- a/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
+++ b/benchmarks/src/test/java/org/baobabknot/soak/SoakChecksTests.java
@@ -110,6 +110,13 @@
 			assertThat(SoakChecksTests.this.violations, empty());
 		}
 
+		@Test
+		void aSecondRunAtATargetIsNotEndedByTheEndOfTheFirst() {
+			check(11, 17.6, event(EventKind.STARTED, 11), event(EventKind.STARTED, 15),
+					event(EventKind.CANCELLED, 15.1), event(EventKind.RECEIVED, 11));
+			assertThat(SoakChecksTests.this.violations, empty());
+		}
+
 		@Test
 		void aTargetThatBreaksOffExcusesTheCut() {
 			check(11, 13, event(EventKind.RECEIVED, 11), event(EventKind.STARTED, 11), event(EventKind.BROKE_OFF, 13));
