Use free ports in the cases of the second review

Cause: the stand-ins used fixed ports on loopback addresses, which another program may hold. Change: five ports that are free on all addresses are chosen for each run.

--- a/review/6/CaseWhole.java
+++ b/review/6/CaseWhole.java
@@ -44,7 +44,7 @@
 		Fleet fleet = new Fleet(record, store.address(), Map.of("lahore-a", "punjab"));
 		fleet.startGateway("front-1", "127.0.32.1", "lahore-a");
 		for (int index = 1; index <= ENGINES; index++) {
-			fleet.startLoader("side-" + index, "127.0.31." + index, "lahore-a", "127.0.31." + index + ":8001", "advisor",
+			fleet.startLoader("side-" + index, "127.0.31." + index, "lahore-a", engines.get(index - 1).address(), "advisor",
 					LINK_MBPS);
 		}
 		Caller.awaitReady("127.0.32.1");
@@ -55,7 +55,7 @@
 			HttpStandin.daemon(() -> {
 				while (true) {
 					sent.incrementAndGet();
-					Caller.Result result = caller.call("127.0.32.1:8005", "POST", "/draft/2f",
+					Caller.Result result = caller.call("127.0.32.1", "POST", "/draft/2f",
 							Map.of("Model", MODEL, "Token-Counts", "100,24", "Prefix-Hash", "5c1e07a2:40,91bd3f06:60"),
 							6_000, false);
 					served.addAndGet((result.status() == 200) ? 1 : 0);
--- a/review/8/CaseLimit.java
+++ b/review/8/CaseLimit.java
@@ -90,7 +90,7 @@
 			for (int client = 0; client < CLIENTS_OF_GATEWAY; client++) {
 				HttpStandin.daemon(() -> {
 					while (true) {
-						Caller.Result result = caller.call(host + ":8005", "POST", "/orders/karachi-" + host, Map.of(), 1_500,
+						Caller.Result result = caller.call(host, "POST", "/orders/karachi-" + host, Map.of(), 1_500,
 								false);
 						served.addAndGet((result.status() == 200) ? 1 : 0);
 						StoreStandin.pause(100);
--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -25,7 +25,7 @@
 
 	/**
 	 * Sends a request and waits for its end.
-	 * @param gateway address of the gateway
+	 * @param gateway loopback address of the gateway
 	 * @param method HTTP method
 	 * @param path path, of the host that all routes have
 	 * @param headers further headers
@@ -39,9 +39,8 @@
 		int status = 0;
 		String body = "";
 		String problem = "";
-		String[] address = gateway.split(":");
 		try (Socket socket = new Socket()) {
-			socket.connect(new InetSocketAddress(address[0], Integer.parseInt(address[1])), 1_000);
+			socket.connect(new InetSocketAddress(gateway, Ports.FRONT), 1_000);
 			socket.setTcpNoDelay(true);
 			socket.setSoTimeout(deadlineMs);
 			StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: voka93.example\r\n");
@@ -97,7 +96,7 @@
 	/** Returns whether a gateway says that it is ready, at the path of deploy/wire.toml. */
 	static boolean isReady(String host) {
 		try (Socket socket = new Socket()) {
-			socket.connect(new InetSocketAddress(host, 8_002), 500);
+			socket.connect(new InetSocketAddress(host, Ports.READY), 500);
 			socket.setSoTimeout(500);
 			socket.getOutputStream().write("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
 			String line = HttpStandin.readLine(new BufferedInputStream(socket.getInputStream()));
--- a/review/standins-2/Fleet.java
+++ b/review/standins-2/Fleet.java
@@ -33,7 +33,7 @@
 		this.record = record;
 		this.folder = Files.createTempDirectory("review-2-");
 		this.common.putAll(Map.of("zones", regionByZone, "provider.address", store, "provider.writes_per_s", 400,
-				"provider.reads_per_s", 2_000, "port_range.0", 7_700, "port_range.1", 7_715, "heartbeat_ms", 1_200));
+				"provider.reads_per_s", 2_000, "port_range.0", Ports.PEERS, "port_range.1", Ports.METRICS, "heartbeat_ms", 1_200));
 		this.common.putAll(Map.of("bounds.config_apply_ms", 2_000, "bounds.revoke_ms", 5_000, "bounds.version_ms",
 				8_000, "bounds.grace_s", 8, "bounds.retry_budget_ratio", 0.2, "bounds.budget_window_s", 10,
 				"bounds.budget_min_retries", 234, "bounds.cold_overshoot", 1.5, "bounds.cold_slack", 5));
@@ -42,8 +42,8 @@
 	}
 
 	void startGateway(String name, String host, String zone) throws IOException {
-		Map<String, Object> fields = new TreeMap<>(Map.of("listen.front", host + ":8005", "listen.ready", host + ":8002"));
-		start("gateway", name, host, zone, fields);
+		start("gateway", name, host, zone,
+				Map.of("listen.front", host + ":" + Ports.FRONT, "listen.ready", host + ":" + Ports.READY));
 	}
 
 	void startLoader(String name, String host, String zone, String engine, String service, double linkMbps)
--- a/review/standins-2/ModelEngine.java
+++ b/review/standins-2/ModelEngine.java
@@ -78,7 +78,7 @@
 		for (int number = 0; number < weights.chunks(); number++) {
 			this.staged.put(number, weights.piece(1, number));
 		}
-		this.server = new HttpStandin(host, 8_001, this::handle);
+		this.server = new HttpStandin(host, Ports.ENGINE, this::handle);
 		HttpStandin.daemon(() -> {
 			while (true) {
 				writeEntry();
--- a/review/standins-2/StoreStandin.java
+++ b/review/standins-2/StoreStandin.java
@@ -78,7 +78,7 @@
 		notifyAll();
 	}
 
-	/** Writes as the operator or an engine does. Returns when the write is acknowledged. */
+	/** Writes as the operator or an engine does; the return is the acknowledgement. */
 	synchronized void put(String key, Object value) {
 		put(key, Json.write(value).getBytes(StandardCharsets.UTF_8), 0);
 	}
@@ -121,7 +121,10 @@
 
 	private void endLease(long lease) {
 		this.leaseEndNanos.remove(lease);
-		List.copyOf(this.items.values()).stream().filter((item) -> item.lease() == lease).forEach((item) -> remove(item.key()));
+		List.copyOf(this.items.values())
+			.stream()
+			.filter((item) -> item.lease() == lease)
+			.forEach((item) -> remove(item.key()));
 	}
 
 	static void pause(long ms) {
