--- a/review/6/CaseWhole.java
+++ b/review/6/CaseWhole.java
@@ -14,7 +14,7 @@
 	private static final int CLIENTS = 40;
 
 	/** Seconds from a version to the next one, one for each round. */
-	private static final double[] GAPS_SECONDS = { 4.0, 3.5, 4.5, 3.8, 4.2, 3.6, 4.4, 4.0 };
+	private static final double[] GAPS_SECONDS = { 4.5, 4.1, 3.7, 3.3, 4.5, 4.1, 3.7, 3.3, 4.5, 4.1, 3.7 };
 
 	/** Link of each machine with a model engine. */
 	private static final double LINK_MBPS = 20;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -encoding UTF-8 -d target/review-2 review/standins-2/*.java review/*/Case*.java
+javac -encoding UTF-8 -Xlint:-options --release 17 -d target/review-2 review/standins-2/*.java review/*/Case*.java
--- a/review/standins-2/ModelEngine.java
+++ b/review/standins-2/ModelEngine.java
@@ -125,18 +125,18 @@
 			answer.sendJson(200, Map.of(), report());
 		}
 		else if (path.startsWith("/stage-put/")) {
-			Thread.sleep(this.stageMs);
 			synchronized (this) {
 				this.staged.put(Integer.valueOf(request.query().get("num")), request.body());
 			}
+			Thread.sleep(this.stageMs);
 			answer.send(200, Map.of(), new byte[0]);
 		}
 		else if (path.startsWith("/stage-get/")) {
-			Thread.sleep(this.stageMs);
 			byte[] bytes;
 			synchronized (this) {
 				bytes = this.staged.get(Integer.valueOf(request.query().get("num")));
 			}
+			Thread.sleep(this.stageMs);
 			answer.send((bytes != null) ? 200 : 404, Map.of(), (bytes != null) ? bytes : new byte[0]);
 		}
 		else if (path.equals("/order")) {
--- a/review/standins-2/Weights.java
+++ b/review/standins-2/Weights.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** The origin of weights, and the pieces of each version. */
 final class Weights {
@@ -16,6 +17,10 @@
 
 	private final int chunkBytes;
 
+	private final Map<Long, byte[]> pieces = new ConcurrentHashMap<>();
+
+	private final Map<Long, String> digests = new ConcurrentHashMap<>();
+
 	private final HttpStandin server;
 
 	Weights(String host, String model, int chunks, int chunkBytes) throws IOException {
@@ -34,9 +39,11 @@
 	}
 
 	byte[] piece(long version, int number) {
-		byte[] bytes = new byte[this.chunkBytes];
-		new Random(version * 10_000 + number).nextBytes(bytes);
-		return bytes;
+		return this.pieces.computeIfAbsent(version * 10_000 + number, (seed) -> {
+			byte[] bytes = new byte[this.chunkBytes];
+			new Random(seed).nextBytes(bytes);
+			return bytes;
+		});
 	}
 
 	static String digest(byte[] bytes) {
@@ -49,7 +56,7 @@
 	}
 
 	String digest(long version, int number) {
-		return digest(piece(version, number));
+		return this.digests.computeIfAbsent(version * 10_000 + number, (seed) -> digest(piece(version, number)));
 	}
 
 	private void handle(HttpStandin.Request request, HttpStandin.Answer answer) throws IOException {
