--- a/review/6/CaseWhole.java
+++ b/review/6/CaseWhole.java
@@ -27,7 +27,7 @@
 	}
 
 	public static void main(String[] arguments) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		boolean trouble = Boolean.parseBoolean(arguments[1]);
 		Record record = new Record(Path.of(arguments[0], "record.txt"));
 		StoreStandin store = new StoreStandin("127.0.30.1");
 		Weights weights = new Weights("127.0.30.2", MODEL, 96, 24_576);
--- a/review/8/CaseLimit.java
+++ b/review/8/CaseLimit.java
@@ -126,7 +126,7 @@
 	}
 
 	public static void main(String[] arguments) throws Exception {
-		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+		boolean trouble = Boolean.parseBoolean(arguments[1]);
 		new CaseLimit(new Record(Path.of(arguments[0], "record.txt"))).run(trouble).exit();
 	}
 
