--- a/review/standins-2/PlainEngine.java
+++ b/review/standins-2/PlainEngine.java
@@ -15,7 +15,7 @@
 
 	private static final long WORK_MS = 40;
 
-	private static final long EVENT_MS = 145;
+	private static final long EVENT_MS = 130;
 
 	private final StoreStandin store;
 
