Reserve the staging area of an engine for one version at a time

Cause: nobody held the staging area between the verification of a version and the moment at which the engine accepts its order. The next version was staged as soon as the older one was skipped, over verified chunks, and an order or write without a response counted as over although the engine could still execute it. An order could also reach an engine that had started since.

Now StagingReservation decides who may write, verify and order, and StagingArea is the only class that does. Another version gets the area when no write and no order of the one before can take effect any more; an order without a response is sent again until the number of accepted orders has moved or the engine has started again. The order goes over a connection that was opened before the verification.

ChunkServerEndTests takes larger chunks: a new loader stages nothing for 2 s, and the test needs a fetch that goes on after that. Its checks are as they were.

--- a/daemon/src/main/java/org/baobabknot/loader/HttpChunkTransport.java
+++ b/daemon/src/main/java/org/baobabknot/loader/HttpChunkTransport.java
@@ -18,7 +18,6 @@
 import org.baobabknot.httpclient.HttpClientSettings;
 import org.baobabknot.httpclient.HttpResult;
 import org.baobabknot.link.BulkWindow;
-import org.baobabknot.provider.EngineClient;
 import org.baobabknot.provider.OriginClient;
 import org.baobabknot.settings.FleetSettings;
 import org.jspecify.annotations.Nullable;
@@ -45,7 +44,7 @@
 
 	private final EventLoop loop;
 
-	private final EngineClient engine;
+	private final StagingAreas stagingAreas;
 
 	private final HttpChunkServer chunkServer;
 
@@ -55,11 +54,11 @@
 
 	private final Map<String, HttpClient> peerClients = new HashMap<>();
 
-	HttpChunkTransport(FleetSettings settings, EventLoop loop, EngineClient engine, HttpChunkServer chunkServer,
+	HttpChunkTransport(FleetSettings settings, EventLoop loop, StagingAreas stagingAreas, HttpChunkServer chunkServer,
 			LoadReporter loadReporter, Supplier<@Nullable OriginClient> originSupplier) {
 		this.settings = settings;
 		this.loop = loop;
-		this.engine = engine;
+		this.stagingAreas = stagingAreas;
 		this.chunkServer = chunkServer;
 		this.loadReporter = loadReporter;
 		this.originSupplier = originSupplier;
@@ -131,8 +130,8 @@
 	}
 
 	@Override
-	public CompletableFuture<Boolean> stage(String model, int index, byte[] bytes) {
-		return this.engine.stageChunk(model, index, bytes);
+	public CompletableFuture<Boolean> stage(String model, long version, int index, byte[] bytes) {
+		return this.stagingAreas.of(model).write(version, index, bytes);
 	}
 
 	@Override
--- a/daemon/src/main/java/org/baobabknot/loader/Loader.java
+++ b/daemon/src/main/java/org/baobabknot/loader/Loader.java
@@ -77,7 +77,7 @@
 
 	private final OperatorServer operatorServer;
 
-	private final LoadOrders loadOrders;
+	private final StagingAreas stagingAreas;
 
 	private final Map<String, VersionFetch> fetches = new HashMap<>();
 
@@ -123,10 +123,11 @@
 		this.chunkServer = new HttpChunkServer(this.loop, settings.failureDomain(),
 				settings.resources().linkBytesPerSecond(), this.loadReporter, this.downloadWindow, this::findFetch);
 		this.manifestCache = new ManifestCache(this.loop);
-		this.transport = new HttpChunkTransport(settings, this.loop, this.engine, this.chunkServer, this.loadReporter,
-				this.manifestCache::origin);
-		this.loadOrders = new LoadOrders(this.engine, log, registry, (state) -> this.loadReporter
-			.reportIfChanged(state.runningRequests(), state.queuedRequests(), false, 0));
+		this.stagingAreas = new StagingAreas(this.engine, log, registry,
+				(state) -> this.loadReporter.reportIfChanged(state.runningRequests(), state.queuedRequests(), false, 0),
+				this.loop.ticker());
+		this.transport = new HttpChunkTransport(settings, this.loop, this.stagingAreas, this.chunkServer,
+				this.loadReporter, this.manifestCache::origin);
 		this.operatorServer = new OperatorServer(this.loop, registry, () -> true);
 	}
 
@@ -167,10 +168,13 @@
 			return;
 		}
 		this.engineStatePending = true;
+		long sentNanos = this.loop.ticker().nanoTime();
 		this.engine.state().thenAccept((state) -> {
 			this.engineStatePending = false;
-			state.ifPresentOrElse((engineState) -> handleEngineState(service.get(), engineState),
-					() -> fetchBeforeEngineStarts(service.get()));
+			state.ifPresentOrElse((engineState) -> {
+				this.stagingAreas.recordState(engineState, sentNanos);
+				handleEngineState(service.get(), engineState);
+			}, () -> handleNoState(service.get()));
 		});
 	}
 
@@ -189,6 +193,13 @@
 		this.linkCongested = congested;
 	}
 
+	private void handleNoState(ServiceDefinition service) {
+		if (this.engine.hasEnded()) {
+			this.stagingAreas.recordEngineEnded();
+		}
+		fetchBeforeEngineStarts(service);
+	}
+
 	// An engine takes longer to start than its loader, which meanwhile fetches from other
 	// loaders. If no other loader is listed as a holder, the whole fleet is starting and
 	// its engines may already hold the version, so nothing is fetched yet.
@@ -226,13 +237,15 @@
 	private void handleEngineState(ServiceDefinition service, EngineClient.EngineState state) {
 		if (state.startedMs() != this.engineStartMs) {
 			this.engineStartMs = state.startedMs();
-			this.loadOrders.clearLastOrder();
+			this.stagingAreas.clearLastOrders();
 			// The engine has restarted, and a power loss also clears its staging area.
 			this.heldFetches.values().forEach((fetch) -> {
 				for (int index = 0; index < fetch.chunks().manifest().chunkCount(); index++) {
 					fetch.restage(index);
 				}
-				this.fetches.putIfAbsent(fetch.model(), fetch);
+				if (!this.fetches.containsKey(fetch.model())) {
+					activate(fetch);
+				}
 			});
 		}
 		int slots = this.view.targets(service.name())
@@ -257,7 +270,7 @@
 				updateEngine(service, model, wanted, version, state);
 			}
 			else {
-				this.loadOrders.clearLastOrder();
+				this.stagingAreas.of(model).clearLastOrder();
 				cancelIfIncomplete(this.fetches.remove(model));
 				cancelIfIncomplete(this.prefetches.remove(model));
 				serveHeldVersion(service, model, version);
@@ -275,7 +288,7 @@
 		this.manifestCache.findOrRequest(service.name(), model, heldVersion).ifPresent((manifest) -> {
 			VersionFetch fetch = newFetch(model, heldVersion, manifest, true);
 			this.heldFetches.put(model, fetch);
-			recoverStagedChunks(fetch);
+			this.stagingAreas.of(model).recover(fetch);
 		});
 	}
 
@@ -288,7 +301,7 @@
 		if (fetch == null) {
 			VersionFetch heldFetch = this.heldFetches.get(model);
 			if (heldFetch != null && heldFetch.version() == wanted && heldFetch.chunks().complete()) {
-				this.fetches.put(model, heldFetch);
+				activate(heldFetch);
 			}
 			else {
 				startFetch(service, model, wanted, this.fetches);
@@ -315,9 +328,8 @@
 				.write();
 		}
 		long now = System.nanoTime();
-		if (fetch.staged() && !state.loading() && this.loadOrders.mayOrder(fetch.version(), now)
-				&& now - loadDueNanos(service, model, heldVersion, now) >= 0) {
-			this.loadOrders.verifyAndOrder(fetch, state);
+		if (fetch.staged() && now - loadDueNanos(service, model, heldVersion, now) >= 0) {
+			this.stagingAreas.of(model).orderIfDue(fetch, state);
 		}
 	}
 
@@ -325,12 +337,17 @@
 		this.fetches.remove(model);
 		VersionFetch next = this.prefetches.remove(model);
 		if (next != null) {
-			this.fetches.put(model, next);
+			activate(next);
 			next.startStaging();
 		}
 		return next;
 	}
 
+	private void activate(VersionFetch fetch) {
+		this.fetches.put(fetch.model(), fetch);
+		this.stagingAreas.of(fetch.model()).request(fetch.version());
+	}
+
 	// Fetches a newer version into memory while the previous one still waits in the
 	// engine's staging area for its load order. The staging area holds only one version.
 	private void prefetch(ServiceDefinition service, String model, long wanted) {
@@ -388,13 +405,18 @@
 		if (heldFetch != null) {
 			fetch.reuseUnchangedChunks(heldFetch.chunks());
 		}
-		fetchesByModel.put(model, fetch);
+		if (fetchesByModel == this.fetches) {
+			activate(fetch);
+		}
+		else {
+			fetchesByModel.put(model, fetch);
+		}
 		this.log.line(DecisionLog.Importance.STATE, "version-fetch")
 			.with("version", wanted)
 			.with("insteadOf", (previous != null) ? previous.version() : 0)
 			.write();
 		if (heldFetch == null) {
-			recoverStagedChunks(fetch);
+			this.stagingAreas.of(model).recover(fetch);
 		}
 		stepFetch(service, fetch);
 	}
@@ -405,15 +427,6 @@
 				this.downloadWindow, stageImmediately);
 	}
 
-	// The engine may still have chunks staged from before a restart of this process.
-	private void recoverStagedChunks(VersionFetch fetch) {
-		for (int index = 0; index < fetch.chunks().manifest().chunkCount(); index++) {
-			int chunkIndex = index;
-			this.engine.readStagedChunk(fetch.model(), index, fetch.chunks().manifest().chunkDigests().get(index))
-				.thenAccept((bytes) -> bytes.ifPresent((chunk) -> fetch.addStagedChunk(chunkIndex, chunk)));
-		}
-	}
-
 	private List<Peer> loaderPeers(String service, Predicate<TargetRecord> filter) {
 		List<Peer> loaders = new ArrayList<>();
 		for (TargetRecord target : this.view.targets(service)) {
--- a/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
+++ b/daemon/src/main/java/org/baobabknot/loader/VersionFetch.java
@@ -264,7 +264,7 @@
 		if (this.cancelled || !this.stagingEnabled || !this.staged.add(index)) {
 			return;
 		}
-		this.transport.stage(this.model, index, this.chunks.chunk(index)).thenAccept((done) -> {
+		this.transport.stage(this.model, this.version, index, this.chunks.chunk(index)).thenAccept((done) -> {
 			if (!done) {
 				this.staged.remove(index);
 			}
@@ -316,11 +316,12 @@
 		/**
 		 * Stages a chunk at the engine.
 		 * @param model the model
+		 * @param version version of the chunk
 		 * @param index number of the chunk
 		 * @param bytes the chunk
 		 * @return whether the engine has stored it
 		 */
-		CompletableFuture<Boolean> stage(String model, int index, byte[] bytes);
+		CompletableFuture<Boolean> stage(String model, long version, int index, byte[] bytes);
 
 		/**
 		 * Called when a chunk was verified and can be served to other loaders.
--- a/daemon/src/test/java/org/baobabknot/loader/ChunkServerEndTests.java
+++ b/daemon/src/test/java/org/baobabknot/loader/ChunkServerEndTests.java
@@ -142,7 +142,9 @@
 	@ParameterizedTest
 	@ValueSource(strings = { "TERM", "KILL" })
 	void aFetchGoesOnFromWhereItWasAtAnotherLoader(String signal) throws Exception {
-		try (EmulatedOrigin origin = createOrigin(CHUNKS, 16 << 10)) {
+		// The fetch takes longer than a new loader waits before it stages the first
+		// chunk.
+		try (EmulatedOrigin origin = createOrigin(CHUNKS, 40 << 10)) {
 			startLoader(1, origin, 1, 1);
 			startLoader(2, origin, 1, 1);
 			this.store.announceVersion("m", 1);
