Let all entries confirm a sole issuer of permits

Cause: while a region has no entry, one of another region issues its permits, and the new entry of the region became sole issuer with the confirmations of its own region, of which there were none. Both issued the whole limit until the other one read the list again.

Now a sole issuer needs the confirmation of all listed entries, or the time in which they read the list, for its own region and for regions without entries alike. Whoever has confirmed ranks the new entry first, so the earlier issuer has ceased.

IssuerRankingTests asks for more confirmations where it asked for those of the region; no other check is changed.

--- a/core/src/main/java/org/baobabknot/limit/IssuerRanking.java
+++ b/core/src/main/java/org/baobabknot/limit/IssuerRanking.java
@@ -15,11 +15,13 @@
 /**
  * Which entry issues the permits for a target. The entries of the target's region are
  * ranked by rendezvous hash, so that a failure domain that is cut off keeps the issuers
- * of its targets. The first one is the sole issuer while three things are shown: its
- * registration holds, so that no other entry can have missed it in the list; its list is
- * recent, so that no other entry can have been ranked before it unnoticed; and the
- * entries of its region have confirmed that they know it, or had the time to read the
- * list. Confined to one thread.
+ * of its targets; while the region has none, those of all regions are. The first one is
+ * the sole issuer while three things are shown: its registration holds, so that no other
+ * entry can have missed it in the list; its list is recent, so that no other entry can
+ * have been ranked before it unnoticed; and all other entries have confirmed that they
+ * know it, or had the time to read the list. Those of other regions count as well,
+ * because any of them issues permits for a region in which it knows no entry. Confined to
+ * one thread.
  */
 public final class IssuerRanking {
 
@@ -98,7 +100,7 @@
 		if (this.registered && !this.othersKnown && nowNanos - this.registeredNanos >= 0
 				&& names.contains(this.self.instance())) {
 			this.othersKnown = true;
-			this.awaited = new HashSet<>(othersOfRegion());
+			this.awaited = new HashSet<>(others());
 		}
 		if (changed) {
 			this.rankings.clear();
@@ -106,9 +108,8 @@
 		}
 	}
 
-	private List<String> othersOfRegion() {
+	private List<String> others() {
 		return this.listed.stream()
-			.filter((entry) -> entry.region().equals(this.self.region()))
 			.map(EntryRecord::instance)
 			.filter((name) -> !name.equals(this.self.instance()))
 			.toList();
@@ -228,13 +229,12 @@
 		List<EntryRecord> issuers = issuers(region, target);
 		boolean first = !issuers.isEmpty() && issuers.get(0).instance().equals(this.self.instance());
 		boolean shown = !this.leaving && this.registered && nowNanos - this.registeredUntilNanos < 0
-				&& nowNanos - this.listNanos < MAX_LIST_AGE_NANOS && settled(region, nowNanos);
+				&& nowNanos - this.listNanos < MAX_LIST_AGE_NANOS && settled(nowNanos);
 		return (first && shown) ? IssuerRole.SOLE : IssuerRole.REDUCED;
 	}
 
-	private boolean settled(String region, long nowNanos) {
-		return (region.equals(this.self.region()) && this.othersKnown && this.awaited.isEmpty())
-				|| nowNanos - this.registeredNanos > SETTLING_NANOS;
+	private boolean settled(long nowNanos) {
+		return (this.othersKnown && this.awaited.isEmpty()) || nowNanos - this.registeredNanos > SETTLING_NANOS;
 	}
 
 	/** What another entry has said about itself. */
--- a/core/src/test/java/org/baobabknot/limit/IssuerRankingTests.java
+++ b/core/src/test/java/org/baobabknot/limit/IssuerRankingTests.java
@@ -65,14 +65,36 @@
 	class Sole {
 
 		@Test
-		void onceTheOthersOfTheRegionHaveConfirmed() {
+		void onceAllOthersHaveConfirmed() {
 			begin(ALL);
 			assertThat(role(2 * SECOND), is(IssuerRole.REDUCED));
-			assertThat(IssuerRankingTests.this.ranking.awaited(), is(List.of(OTHER)));
+			assertThat(IssuerRankingTests.this.ranking.awaited(), is(List.of(OTHER, REMOTE)));
 			IssuerRankingTests.this.ranking.recordConfirmed("b");
+			assertThat(role(2 * SECOND), is(IssuerRole.REDUCED));
+			IssuerRankingTests.this.ranking.recordConfirmed("c");
 			assertThat(role(2 * SECOND), is(IssuerRole.SOLE));
 		}
 
+		/**
+		 * Guards against a first entry of a region that issues beside the entry of
+		 * another region that did so before.
+		 */
+		@Test
+		void forARegionThatHadNoEntryOnceTheOthersHaveConfirmed() {
+			begin(List.of(SELF, REMOTE));
+			assertThat(role(2 * SECOND), is(IssuerRole.REDUCED));
+			IssuerRankingTests.this.ranking.recordConfirmed("c");
+			assertThat(role(2 * SECOND), is(IssuerRole.SOLE));
+		}
+
+		@Test
+		void forARegionWithoutEntriesOnceTheOthersHaveConfirmed() {
+			begin(List.of(SELF));
+			assertThat(IssuerRankingTests.this.ranking.role("r3", 1, 2 * SECOND), is(IssuerRole.SOLE));
+			IssuerRankingTests.this.ranking.recordAnnounced(new EntryRecord("d", "r3", "d", 1), 2 * SECOND);
+			assertThat(IssuerRankingTests.this.ranking.role("r3", 1, 2 * SECOND), is(IssuerRole.REDUCED));
+		}
+
 		@Test
 		void onceAllHadTheTimeToReadTheList() {
 			begin(ALL);
@@ -100,10 +122,15 @@
 
 		private void becomeSole() {
 			begin(ALL);
-			IssuerRankingTests.this.ranking.recordConfirmed("b");
+			confirmAll();
 			assertThat(role(2 * SECOND), is(IssuerRole.SOLE));
 		}
 
+		private void confirmAll() {
+			IssuerRankingTests.this.ranking.recordConfirmed("b");
+			IssuerRankingTests.this.ranking.recordConfirmed("c");
+		}
+
 		@Test
 		void whenTheRegistrationMayHaveExpired() {
 			becomeSole();
@@ -124,7 +151,7 @@
 			IssuerRankingTests.this.ranking.recordRegistration(40 * SECOND, 30 * SECOND);
 			IssuerRankingTests.this.ranking.recordList(ALL, 31 * SECOND);
 			assertThat(role(32 * SECOND), is(IssuerRole.REDUCED));
-			IssuerRankingTests.this.ranking.recordConfirmed("b");
+			confirmAll();
 			assertThat(role(32 * SECOND), is(IssuerRole.SOLE));
 		}
 
@@ -140,7 +167,7 @@
 			assertThat(role(3 * SECOND), is(IssuerRole.REDUCED));
 			IssuerRankingTests.this.ranking.recordList(ALL, 4 * SECOND);
 			assertThat(role(4 * SECOND), is(IssuerRole.REDUCED));
-			IssuerRankingTests.this.ranking.recordConfirmed("b");
+			confirmAll();
 			assertThat(role(4 * SECOND), is(IssuerRole.SOLE));
 		}
 
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrders.java
@@ -3,13 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -28,7 +27,10 @@
  */
 final class LimitOrders {
 
-	static final String REGION = "r";
+	/** Region of all targets. */
+	private static final String REGION = "r";
+
+	private static final String OTHER_REGION = "s";
 
 	private static final long LEASE_MS = 9_500;
 
@@ -57,7 +59,8 @@
 
 	private final List<Target> targets = new ArrayList<>();
 
-	private final Set<String> registered = new HashSet<>();
+	/** Regions of the registered gateways by their names. */
+	private final Map<String, String> registered = new TreeMap<>();
 
 	private final int initialGateways;
 
@@ -68,16 +71,28 @@
 	private long messages;
 
 	LimitOrders(long seed, int gatewayCount, Faults faults) {
+		this(seed, gatewayCount, gatewayCount, faults);
+	}
+
+	/**
+	 * Creates a fleet.
+	 * @param seed determines all random choices
+	 * @param gatewayCount number of gateways at the start
+	 * @param remoteCount how many of them, the first ones, are of another region than the
+	 * targets; all are of the region of the targets if it is the whole number
+	 * @param faults what disturbs the messages
+	 */
+	LimitOrders(long seed, int gatewayCount, int remoteCount, Faults faults) {
 		this.random = new SplittableRandom(seed);
 		this.faults = faults;
 		this.initialGateways = gatewayCount;
 		this.ticker.advance(1, TimeUnit.HOURS);
 		for (int index = 0; index < gatewayCount; index++) {
-			this.registered.add("entry-" + index);
-		}
-		for (int index = 0; index < gatewayCount; index++) {
-			this.gateways.add(new Gateway("entry-" + index));
+			boolean remote = remoteCount < gatewayCount && index < remoteCount;
+			this.registered.put("entry-" + index, (remote) ? OTHER_REGION : REGION);
 		}
+		List.copyOf(this.registered.keySet())
+			.forEach((name) -> this.gateways.add(new Gateway(name, this.registered.get(name))));
 	}
 
 	/**
@@ -143,7 +158,7 @@
 			gateway.heldUntilMs = 0;
 			this.registered.remove(gateway.entry.instance());
 			after(downMs, () -> {
-				this.registered.add(gateway.entry.instance());
+				this.registered.put(gateway.entry.instance(), gateway.entry.region());
 				gateway.start();
 			});
 		});
@@ -163,7 +178,7 @@
 					this.registered.remove(gateway.entry.instance());
 				}
 			});
-			after(forMs + 1, () -> this.registered.add(gateway.entry.instance()));
+			after(forMs + 1, () -> this.registered.put(gateway.entry.instance(), gateway.entry.region()));
 		});
 	}
 
@@ -173,14 +188,37 @@
 	 * @param forMs time until its messages arrive
 	 */
 	void joinUnheard(long atMs, long forMs) {
+		at(atMs, () -> join().unheardUntilMs = this.nowMs + forMs);
+	}
+
+	private Gateway join() {
+		String name = "joined-" + this.gateways.size();
+		this.registered.put(name, REGION);
+		Gateway gateway = new Gateway(name, REGION);
+		gateway.disturbedMs = this.nowMs;
+		this.gateways.add(gateway);
+		return gateway;
+	}
+
+	/**
+	 * Takes a gateway of the targets' region away for good and adds another one there.
+	 * @param index number of the gateway
+	 * @param atMs time of its end
+	 * @param notice whether it tells the others that it ends
+	 * @param joinMs time at which the other one registers
+	 */
+	void replace(int index, long atMs, boolean notice, long joinMs) {
 		at(atMs, () -> {
-			String name = "joined-" + this.gateways.size();
-			this.registered.add(name);
-			Gateway gateway = new Gateway(name);
-			gateway.disturbedMs = this.nowMs;
-			gateway.unheardUntilMs = this.nowMs + forMs;
-			this.gateways.add(gateway);
+			Gateway gateway = this.gateways.get(index);
+			if (notice) {
+				gateway.limits.issuerNotices().leave();
+			}
+			gateway.heldUntilMs = 0;
+			gateway.life++;
+			gateway.frozenUntilMs = Long.MAX_VALUE / 2;
+			after((notice) ? 0 : LEASE_MS + 500, () -> this.registered.remove(gateway.entry.instance()));
 		});
+		at(joinMs, this::join);
 	}
 
 	/**
@@ -329,8 +367,8 @@
 
 		private List<EntryRecord> list = List.of();
 
-		Gateway(String instance) {
-			this.entry = new EntryRecord(instance, REGION, instance, 1);
+		Gateway(String instance, String region) {
+			this.entry = new EntryRecord(instance, region, instance, 1);
 			start();
 			this.disturbedMs = Long.MIN_VALUE / 2;
 		}
@@ -359,16 +397,16 @@
 				return;
 			}
 			if (LimitOrders.this.nowMs >= this.cutUntilMs
-					&& LimitOrders.this.registered.contains(this.entry.instance())) {
+					&& LimitOrders.this.registered.containsKey(this.entry.instance())) {
 				this.heldUntilMs = LimitOrders.this.nowMs + LEASE_MS;
 				recordRegistration();
 				if (LimitOrders.this.nowMs - this.listReadMs >= LIST_INTERVAL_MS) {
 					// After the first read, processes read the list at different times.
 					this.listReadMs = LimitOrders.this.nowMs
 							- ((this.list.isEmpty()) ? LimitOrders.this.random.nextLong(LIST_INTERVAL_MS) : 0);
-					this.list = LimitOrders.this.registered.stream()
-						.sorted()
-						.map((name) -> new EntryRecord(name, REGION, name, 1))
+					this.list = LimitOrders.this.registered.entrySet()
+						.stream()
+						.map((each) -> new EntryRecord(each.getKey(), each.getValue(), each.getKey(), 1))
 						.toList();
 					this.limits.ranking().recordList(this.list, nanos());
 				}
--- a/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/LimitOrdersTests.java
@@ -101,6 +101,30 @@
 			}
 		},
 
+		/**
+		 * Guards against two sole issuers after the gateways of a region have left and
+		 * others have joined.
+		 */
+		REGION_REPLACED(0.01, 10) {
+			@Override
+			int remoteGateways(SplittableRandom random) {
+				return GATEWAYS - 1 - random.nextInt(2);
+			}
+
+			@Override
+			void apply(LimitOrders orders, SplittableRandom random) {
+				for (int index = GATEWAYS - 1; index >= GATEWAYS - 2; index--) {
+					long leaveMs = 8_000 + random.nextInt(6_000);
+					orders.replace(index, leaveMs, random.nextBoolean(), leaveMs + random.nextInt(22_000));
+				}
+			}
+
+			@Override
+			long endMs() {
+				return LONG_END_MS;
+			}
+		},
+
 		ALL(0.05, 30) {
 			@Override
 			void apply(LimitOrders orders, SplittableRandom random) {
@@ -118,13 +142,22 @@
 			return END_MS;
 		}
 
+		/**
+		 * Returns how many gateways are of another region than the targets.
+		 * @param random source of the choice
+		 * @return the number, {@link #GATEWAYS} if there is one region only
+		 */
+		int remoteGateways(SplittableRandom random) {
+			return GATEWAYS;
+		}
+
 		abstract void apply(LimitOrders orders, SplittableRandom random);
 
 	}
 
 	private static String play(long seed, Disturbance disturbance) {
 		SplittableRandom random = new SplittableRandom(seed);
-		LimitOrders orders = new LimitOrders(seed, GATEWAYS, disturbance.faults);
+		LimitOrders orders = new LimitOrders(seed, GATEWAYS, disturbance.remoteGateways(random), disturbance.faults);
 		double[] rates = { 0.3, 1.7, 4, 20 };
 		List<LimitOrders.Target> targets = List.of(orders.addTarget(rates[random.nextInt(rates.length)]),
 				orders.addTarget(rates[random.nextInt(rates.length)]), orders.addTarget(LimitStatement.UNLIMITED));
@@ -168,6 +201,25 @@
 			assertThat(limited.isExceeded(), is(false));
 		}
 
+		// Gateways of both regions are taken away, one every 1.3 s, and others join 1.5 s
+		// later.
+		@ParameterizedTest
+		@CsvSource({ "true, 2", "true, 20", "false, 2", "false, 20" })
+		void mostOfALimitIsUsedWhileGatewaysAreReplaced(boolean notice, double rate) {
+			LimitOrders orders = new LimitOrders(1, 18, 12, new LimitOrders.Faults(0.01, 5));
+			LimitOrders.Target limited = orders.addTarget(rate);
+			orders.addTarget(LimitStatement.UNLIMITED);
+			orders.send(0, LONG_END_MS, 300, 6);
+			for (int number = 0; number < 6; number++) {
+				long leaveMs = 4_000 + number * 1_300L;
+				orders.replace((number % 2 == 0) ? 12 + number : 6 + number, leaveMs, notice, leaveMs + 1_500);
+			}
+			orders.run(LONG_END_MS);
+			double used = limited.received(4_000) / (rate * (LONG_END_MS - 4_000) / 1_000);
+			assertThat(used, greaterThan(0.7));
+			assertThat(limited.isExceeded(), is(false));
+		}
+
 		@ParameterizedTest
 		@CsvSource({ "0, 12000", "0.5, 9000", "1.7, 9000", "20, 9000" })
 		void aLiftIsKnownEverywhereSoon(double rate, long fromMs) {
