Withdraw waiting requests when their target is reported to leave

Cause: a request that waits for a connection was sent when one was free, whatever was known of the target by then; only statements in responses withdrew waiting requests.

Right before a call that has waited is sent, it must be allowed at this target by the same test as at its placement.

--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -582,6 +582,7 @@
 				.with("ageMs", viewAgeMs())
 				.write();
 		}
+		guard("withdraw-waiting", this.targetPool::withdrawFromUnavailable);
 		this.sweepCount++;
 		if (this.sweepCount % SWEEPS_PER_CONNECTION_CHECK == 0) {
 			CallerLimits limits = limits();
--- a/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/GatewayRequest.java
@@ -259,6 +259,15 @@
 				remainingMs, this.stream.resumeAfter());
 	}
 
+	/**
+	 * Returns whether the target of an attempt may still get the request.
+	 * @param attempt the attempt, which waits for a connection
+	 * @return whether it would be allowed as a target now
+	 */
+	boolean maySend(TargetAttempt attempt) {
+		return this.admission == null || placement().allows(attempt.target(), mayHaveRun(), System.nanoTime());
+	}
+
 	/**
 	 * Called when a target did not run the request and never will.
 	 * @param attempt the attempt
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetAttempt.java
@@ -175,6 +175,11 @@
 		return (responseId.equals(this.requestId)) ? ResponseOwner.THIS_CALL : ResponseOwner.OTHER_CALL;
 	}
 
+	@Override
+	public boolean maySend() {
+		return this.request.maySend(this);
+	}
+
 	@Override
 	public void onUnmatched(ResponseHead candidate, ResponseOwner owner) {
 		TargetResponseHead unmatched = PlatformHeaders.decodeResponse(candidate);
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetPool.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -144,6 +145,21 @@
 		}
 	}
 
+	/**
+	 * Withdraws the requests that wait for a connection to a target which gets none any
+	 * more, so that they go to other targets at once.
+	 */
+	void withdrawFromUnavailable() {
+		for (Map.Entry<String, PooledTarget> entry : List.copyOf(this.pooledTargets.entrySet())) {
+			boolean available = this.view.target(entry.getKey())
+				.filter((target) -> !target.leaving() && !this.view.domainsOut().contains(target.domain()))
+				.isPresent();
+			if (!available) {
+				entry.getValue().client().withdrawWaiting("the target leaves, is not listed or its domain is out");
+			}
+		}
+	}
+
 	/**
 	 * Finds the pooled target at an address.
 	 * @param address the address
