Choose the senders to a cold target after an entry has left for good

Cause: the number of senders was limited only while the list of entries was as long as it had ever been, so never again after a gateway had left.

KnownEntries now keeps the names of the entries that may be running, those included that went missing a short time ago, and the senders are always chosen among them. A process that knows no list, or that the others may not know, is none.

--- a/core/src/main/java/org/baobabknot/fleet/FleetView.java
+++ b/core/src/main/java/org/baobabknot/fleet/FleetView.java
@@ -44,6 +44,8 @@
 
 	private @Nullable List<EntryRecord> entriesList;
 
+	private final KnownEntries knownEntries = new KnownEntries();
+
 	private int maxEntries;
 
 	private long entriesReadNanos;
@@ -261,6 +263,7 @@
 	public void recordEntriesRead(long nowNanos) {
 		this.entriesReadNanos = nowNanos;
 		this.maxEntries = Math.max(this.maxEntries, this.entries.size());
+		this.knownEntries.recordRead(this.entries.keySet(), nowNanos);
 	}
 
 	/**
@@ -283,12 +286,22 @@
 	}
 
 	/**
-	 * Returns whether the list of entries is as long as it has ever been, so that all
-	 * entries compute the same ranking of each other.
-	 * @return false before it was read and while registrations are missing
+	 * Returns whether all entries that may be running are registered, so that they
+	 * compute the same ranking of each other.
+	 * @return false before the list was read, and for a short time after an entry has
+	 * left
 	 */
 	public boolean entriesComplete() {
-		return this.maxEntries > 0 && this.entries.size() >= this.maxEntries;
+		return this.knownEntries.complete();
+	}
+
+	/**
+	 * Returns the instance names of all entries that may be running, those included whose
+	 * registration went missing a short time ago.
+	 * @return a copy, empty before the list was read
+	 */
+	public Set<String> knownInstances() {
+		return this.knownEntries.names();
 	}
 
 	/**
--- a/core/src/main/java/org/baobabknot/placement/ColdSenders.java
+++ b/core/src/main/java/org/baobabknot/placement/ColdSenders.java
@@ -30,11 +30,16 @@
 	 * come to the same result.
 	 * @param target identity of the target
 	 * @param self name of the process
-	 * @param processes names of all processes
+	 * @param processes names of all processes that may be running, empty if they are not
+	 * known
 	 * @param maxSenders maximum number of senders
-	 * @return true for at most {@code maxSenders} of the processes
+	 * @return true for at most {@code maxSenders} of the processes, and for none that is
+	 * not among them unless there are fewer
 	 */
 	public static boolean isSender(String target, String self, Collection<String> processes, int maxSenders) {
+		if (processes.isEmpty() || (!processes.contains(self) && processes.size() >= maxSenders)) {
+			return false;
+		}
 		if (processes.size() <= maxSenders) {
 			return true;
 		}
--- a/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/TargetSelection.java
@@ -62,9 +62,7 @@
 		int maxColdSenders = ColdSenders.maxSenders(service.coldRatePerSecond(), bounds.coldOvershoot(),
 				bounds.coldSlack());
 		List<Candidate> candidates = candidates(query, maxColdSenders, now);
-		// While the list of entries is incomplete, any of them may send to a cold target.
-		int senders = (this.view.entriesComplete()) ? Math.min(maxColdSenders, this.view.limitDivisor())
-				: this.view.limitDivisor();
+		int senders = Math.min(maxColdSenders, this.view.limitDivisor());
 		List<Candidate> preferred = query.trial().preferred(candidates, query.suspectedContents(), now);
 		if (!preferred.isEmpty()) {
 			PlacementResult result = this.placement.choose(preferred, work, service.coldRatePerSecond(), senders, now);
@@ -112,8 +110,8 @@
 				continue;
 			}
 			boolean cold = service.coldRatePerSecond() > 0 && this.view.coldLeftMs(target, now) > 0;
-			if (cold && this.view.entriesComplete() && !ColdSenders.isSender(target.id(), this.settings.instance(),
-					this.view.entryInstances(), maxColdSenders)) {
+			if (cold && !ColdSenders.isSender(target.id(), this.settings.instance(), this.view.knownInstances(),
+					maxColdSenders)) {
 				continue;
 			}
 			candidates.add(new Candidate(target, pooledTarget.load(), cold,
