Ask entries of other regions at the start for what a restore has forgotten

Cause: it asked one gateway of its own region for newer items, of which there was none, and took the store's copy for confirmed. It also gave up when the one that it asked was starting itself.

Without any other gateway that answers, the copy counts as before.

--- a/core/src/main/java/org/baobabknot/fleet/ValueSources.java
+++ b/core/src/main/java/org/baobabknot/fleet/ValueSources.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.baobabknot.hashing.RendezvousHash;
 
@@ -32,6 +34,12 @@
 	/** Maximum number of sources of one process, which are tried one after the other. */
 	private static final int MAX_SOURCES = 4;
 
+	/** Entries of its own region that a starting entry asks before other regions. */
+	private static final int FIRST_START_SOURCES = 2;
+
+	/** Entries of its own region that a starting entry asks at most. */
+	private static final int MAX_START_SOURCES = 8;
+
 	public ValueSources {
 		sources = List.copyOf(sources);
 	}
@@ -73,6 +81,27 @@
 		return new ValueSources(ranked.subList(0, Math.min(MAX_SOURCES, ranked.size())), ranked.size());
 	}
 
+	/**
+	 * Returns the entries that a starting entry asks for what the store may have
+	 * forgotten in a restore. They may be of any region: the entry may be the only one of
+	 * its own, and none of the other ones has to have known more than the store.
+	 * @param entries all other registered entries
+	 * @param region region of the entry
+	 * @param instance name of the entry
+	 * @return the sources: some of the own region, one of each other region, then further
+	 * ones of the own region, because several may just be starting as well
+	 */
+	public static ValueSources forStart(Collection<EntryRecord> entries, String region, String instance) {
+		List<EntryRecord> ranked = RendezvousHash.rank(instance, List.copyOf(entries), EntryRecord::instance);
+		List<EntryRecord> ofRegion = inRegion(ranked, region);
+		int first = Math.min(FIRST_START_SOURCES, ofRegion.size());
+		List<EntryRecord> sources = new ArrayList<>(ofRegion.subList(0, first));
+		Set<String> regions = new HashSet<>(Set.of(region));
+		ranked.stream().filter((entry) -> regions.add(entry.region())).forEach(sources::add);
+		sources.addAll(ofRegion.subList(first, Math.min(MAX_START_SOURCES, ofRegion.size())));
+		return new ValueSources(sources, sources.size());
+	}
+
 	private static List<EntryRecord> inRegion(Collection<EntryRecord> entries, String region) {
 		List<EntryRecord> sameRegion = new ArrayList<>(entries);
 		sameRegion.removeIf((entry) -> !entry.region().equals(region));
--- a/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
+++ b/daemon/src/main/java/org/baobabknot/gateway/Gateway.java
@@ -201,7 +201,7 @@
 		Supplier<ValueSources> sources = () -> ValueSources.forEntry(this.view.entries(), self);
 		SourceTiming timing = bounds.sourceTiming();
 		ValueRelay startRelay = new ValueRelay(this.loop, timing,
-				() -> ValueSources.forOtherProcess(otherEntries(), settings.region(), settings.instance()));
+				() -> ValueSources.forStart(otherEntries(), settings.region(), settings.instance()));
 		this.feed = FleetFeed.forGateway(this.store, new ValueRelay(this.loop, timing, sources), startRelay,
 				new ValueRelay(this.loop, timing, sources), this.view, this.loop, timing.confirmMs(),
 				bounds.versionMs(), bounds.heartbeatMs(), this::changed);
--- a/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/GatewayFleet.java
@@ -60,14 +60,24 @@
 	 * @param count number of gateways
 	 */
 	void start(int count) {
+		start(count, "a");
+	}
+
+	/**
+	 * Starts further gateways in a failure domain that is a region of its own.
+	 * @param count number of gateways
+	 * @param domain {@code a} or {@code b}, the region of which is {@code ra} or
+	 * {@code rb}
+	 */
+	void start(int count, String domain) {
 		int end = this.gateways.size() + count;
 		for (int index = this.gateways.size(); index < end; index++) {
 			FleetSettings.HostPort callerAddress = freePort();
 			this.callerPorts.add(callerAddress.port());
-			FleetSettings settings = new FleetSettings(FleetSettings.FleetRole.GATEWAY, "entry-" + index, "a", "ra",
-					Map.of("a", "ra"), "127.0.0.1", Optional.of(callerAddress), Optional.of(freePort()),
-					GatewayFixture.address(this.store.address()), StoreRates.UNKNOWN, Optional.empty(),
-					TestPorts.findFree(), TestPorts.findFree(), this.bounds,
+			FleetSettings settings = new FleetSettings(FleetSettings.FleetRole.GATEWAY, "entry-" + index, domain,
+					"r" + domain, Map.of("a", "ra", "b", "rb"), "127.0.0.1", Optional.of(callerAddress),
+					Optional.of(freePort()), GatewayFixture.address(this.store.address()), StoreRates.UNKNOWN,
+					Optional.empty(), TestPorts.findFree(), TestPorts.findFree(), this.bounds,
 					new FleetSettings.Resources(1_000, 1_000_000));
 			Gateway gateway = new Gateway(settings, this.group,
 					new DecisionLog(settings.instance(), OutputStream.nullOutputStream()));
--- a/daemon/src/test/java/org/baobabknot/gateway/StoreRestoredTests.java
+++ b/daemon/src/test/java/org/baobabknot/gateway/StoreRestoredTests.java
@@ -189,6 +189,23 @@
 			}
 		}
 
+		/**
+		 * Guards against a gateway that serves a revoked key because no gateway of its
+		 * region is left that knows the revocation.
+		 */
+		@Test
+		void inARegionWithoutGatewaysKnowWhatTheStoreHasForgotten() throws Exception {
+			EmulatedStore.Copy copy = StoreRestoredTests.this.store.copy();
+			StoreRestoredTests.this.fleet.configure(configuration(2, "key-2"));
+			StoreRestoredTests.this.fleet.awaitVersion(2);
+			forgetChanges(copy);
+			StoreRestoredTests.this.fleet.start(1, "b");
+			StoreRestoredTests.this.fleet.awaitVersion(1);
+			for (Gateway gateway : StoreRestoredTests.this.fleet.gateways) {
+				assertThat(gateway.instance(), GatewayFleet.configurationVersion(gateway), is(2L));
+			}
+		}
+
 	}
 
 	/** Keys could not be confirmed while the history was gone. */
