--- a/daemon/src/main/java/org/baobabknot/loader/StagingArea.java
+++ b/daemon/src/main/java/org/baobabknot/loader/StagingArea.java
@@ -48,7 +48,8 @@
 
 	private @Nullable VersionFetch lastOrdered;
 
-	private boolean lastOrderShown = true;
+	/** Whether the effect of the last order has been seen, or its engine has ended. */
+	private boolean lastOrderSettled = true;
 
 	/**
 	 * Creates the area of a model.
@@ -144,7 +145,7 @@
 	 * Clears the last order, because the engine runs the version or has restarted.
 	 */
 	void clearLastOrder() {
-		this.lastOrderShown = true;
+		this.lastOrderSettled = true;
 	}
 
 	/**
@@ -157,7 +158,7 @@
 	 */
 	void orderIfDue(VersionFetch fetch, EngineState state) {
 		VersionFetch ordered = this.lastOrdered;
-		boolean repeated = !this.lastOrderShown && ordered != null && ordered.version() == fetch.version()
+		boolean repeated = !this.lastOrderSettled && ordered != null && ordered.version() == fetch.version()
 				&& now() - this.lastOrderNanos < TimeUnit.MILLISECONDS.toNanos(ORDER_REPEAT_MS);
 		if (!state.loading() && !repeated) {
 			this.reservation.beginVerification(fetch.version(), state.startedMs(), state.acceptedOrders())
@@ -222,7 +223,7 @@
 		}
 		this.lastOrderNanos = now();
 		this.lastOrdered = fetch;
-		this.lastOrderShown = false;
+		this.lastOrderSettled = false;
 		connection.orderLoad(this.model, fetch.version(), order.get().acceptedOrders())
 			.thenAccept((response) -> handleResponse(fetch, order.get(), current.get(), response));
 	}
--- a/daemon/src/main/java/org/baobabknot/settings/Section.java
+++ b/daemon/src/main/java/org/baobabknot/settings/Section.java
@@ -85,8 +85,8 @@
 		if (value.isMissingNode() && defaultValue >= 0) {
 			return defaultValue;
 		}
-		if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < min
-				|| value.longValue() > max) {
+		if (!value.isNumber() || !value.canConvertToExactIntegral() || !value.canConvertToLong()
+				|| value.longValue() < min || value.longValue() > max) {
 			error(name, value, "a whole number from " + min + " to " + max);
 			return min;
 		}
