Name the calls of a loader in the emulator instead of their paths

The emulated engine reports the kind of a call now. PlatformWordsTests, CoreDependenciesTests and MixedVersionLoadTests pass; no check is changed.

--- a/daemon/src/test/java/org/baobabknot/loader/MixedVersionLoadTests.java
+++ b/daemon/src/test/java/org/baobabknot/loader/MixedVersionLoadTests.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.baobabknot.emulator.EmulatedEngine;
+import org.baobabknot.emulator.EngineBehavior.LoaderCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -17,8 +18,6 @@
  */
 class MixedVersionLoadTests {
 
-	private static final String ORDER = "POST /order";
-
 	private final LoaderFixture fleet = new LoaderFixture();
 
 	private EmulatedEngine engine;
@@ -36,10 +35,10 @@
 	}
 
 	// Announces the next version at one call of the loader.
-	private void announceAt(String callPrefix, int count, long version) {
+	private void announceAt(LoaderCall kind, int count, long version) {
 		AtomicInteger calls = new AtomicInteger();
 		this.engine.loaderCallListener = (call) -> {
-			if (call.startsWith(callPrefix) && calls.incrementAndGet() == count) {
+			if (call == kind && calls.incrementAndGet() == count) {
 				new Thread(() -> this.fleet.announce(version)).start();
 			}
 		};
@@ -56,7 +55,7 @@
 		@Test
 		void whileTheOrderWaitsAtTheEngine() throws Exception {
 			MixedVersionLoadTests.this.engine.orderDelayMs = 1_300;
-			announceAt(ORDER, 1, 3);
+			announceAt(LoaderCall.LOAD_ORDER, 1, 3);
 			MixedVersionLoadTests.this.fleet.announce(2);
 			assertNoMixOnTheWayTo(3);
 		}
@@ -64,7 +63,7 @@
 		@Test
 		void whileAnOrderThatTheLoaderHasGivenUpWaitsAtTheEngine() throws Exception {
 			MixedVersionLoadTests.this.engine.orderDelayMs = 2_500;
-			announceAt(ORDER, 1, 3);
+			announceAt(LoaderCall.LOAD_ORDER, 1, 3);
 			MixedVersionLoadTests.this.fleet.announce(2);
 			EmulatedEngine target = MixedVersionLoadTests.this.engine;
 			MixedVersionLoadTests.this.fleet.await("an order", () -> !target.acceptedLoads().isEmpty());
@@ -78,7 +77,7 @@
 			for (int read = 1; read <= LoaderFixture.CHUNKS; read += 3) {
 				MixedVersionLoadTests.this.engine.stagingDelayMs = 10;
 				MixedVersionLoadTests.this.engine.orderDelayMs = 50;
-				announceAt("GET /stage-get/", read, version + 2);
+				announceAt(LoaderCall.CHUNK_READ, read, version + 2);
 				MixedVersionLoadTests.this.fleet.announce(version + 1);
 				version += 2;
 				assertNoMixOnTheWayTo(version);
@@ -89,7 +88,7 @@
 		void whileTheEngineIsSilent() throws Exception {
 			AtomicInteger calls = new AtomicInteger();
 			MixedVersionLoadTests.this.engine.loaderCallListener = (call) -> {
-				if (call.startsWith("PUT /stage-put/") && calls.incrementAndGet() == 3) {
+				if (call == LoaderCall.CHUNK_WRITE && calls.incrementAndGet() == 3) {
 					MixedVersionLoadTests.this.engine.fallSilent(2_000);
 					new Thread(() -> MixedVersionLoadTests.this.fleet.announce(3)).start();
 				}
@@ -108,7 +107,7 @@
 			AtomicInteger reads = new AtomicInteger();
 			EmulatedEngine target = MixedVersionLoadTests.this.engine;
 			target.loaderCallListener = (call) -> {
-				if (call.startsWith("GET /stage-get/") && target.stagePuts() >= LoaderFixture.CHUNKS
+				if (call == LoaderCall.CHUNK_READ && target.stagePuts() >= LoaderFixture.CHUNKS
 						&& reads.incrementAndGet() == LoaderFixture.CHUNKS) {
 					// Runs when the response to this call was sent.
 					new Thread(target::restartEmpty).start();
@@ -130,7 +129,7 @@
 			target.orderDelayMs = 1_800;
 			AtomicInteger orders = new AtomicInteger();
 			target.loaderCallListener = (call) -> {
-				if (call.equals(ORDER)) {
+				if (call == LoaderCall.LOAD_ORDER) {
 					orders.incrementAndGet();
 				}
 			};
